--- /dev/null
+++ b/include/cuminsail/counters.h
@@ -0,0 +1,160 @@
+/**
+ * counters.h - the system's own counters, in the usual metrics text form
+ *
+ * One counter for each refusal and each retry reason. Refusals are counted by
+ * result code; the table below holds the rest. docs/COUNTERS.md lists all.
+ */
+#ifndef CUMINSAIL_COUNTERS_H
+#define CUMINSAIL_COUNTERS_H
+
+#include <glib.h>
+
+/*
+ * X(identifier, metric, label "name=value" or "", help)
+ */
+#define CS_COUNTER_TABLE(X)                                                    \
+	X(CS_N_QUERIES, "queries_total", "", "queries received")               \
+	X(CS_N_ANSWERED, "answered_total", "coverage=full",                    \
+	  "queries answered")                                                  \
+	X(CS_N_PARTIAL, "answered_total", "coverage=partial",                  \
+	  "queries answered")                                                  \
+	X(CS_N_PARTS, "parts_total", "kind=first", "parts sent to upstreams")  \
+	X(CS_N_RETRIES, "parts_total", "kind=retry",                           \
+	  "parts sent to upstreams")                                           \
+	X(CS_N_HEDGES, "parts_total", "kind=hedge", "parts sent to upstreams") \
+	X(CS_N_HEDGE_WINS, "hedge_wins_total", "",                             \
+	  "hedges that answered first")                                        \
+	X(CS_N_RETRY_UNSENT, "retries_total", "reason=unsent",                 \
+	  "attempts that made a retry needed")                                 \
+	X(CS_N_RETRY_REFUSED, "retries_total", "reason=refused",               \
+	  "attempts that made a retry needed")                                 \
+	X(CS_N_RETRY_LOST, "retries_total", "reason=lost",                     \
+	  "attempts that made a retry needed")                                 \
+	X(CS_N_RETRY_TIMEOUT, "retries_total", "reason=timeout",               \
+	  "attempts that made a retry needed")                                 \
+	X(CS_N_RETRY_BAD, "retries_total", "reason=bad-answer",                \
+	  "attempts that made a retry needed")                                 \
+	X(CS_N_NO_BUDGET, "budget_refusals_total", "",                         \
+	  "retries and hedges the budget did not allow")                       \
+	X(CS_N_REJ_ID, "rejected_parts_total", "reason=request-id",            \
+	  "parts rejected")                                                    \
+	X(CS_N_REJ_ATTEMPT, "rejected_parts_total", "reason=attempt",          \
+	  "parts rejected")                                                    \
+	X(CS_N_REJ_SHARD, "rejected_parts_total", "reason=shard",              \
+	  "parts rejected")                                                    \
+	X(CS_N_REJ_SNAPSHOT, "rejected_parts_total", "reason=snapshot",        \
+	  "parts rejected")                                                    \
+	X(CS_N_REJ_MAP, "rejected_parts_total", "reason=map",                  \
+	  "parts rejected")                                                    \
+	X(CS_N_REJ_FORM, "rejected_parts_total", "reason=form",                \
+	  "parts rejected")                                                    \
+	X(CS_N_LATE, "late_parts_total", "", "answers to closed attempts")     \
+	X(CS_N_RESTARTS, "restarts_total", "",                                 \
+	  "queries restarted on a newer snapshot")                             \
+	X(CS_N_CANCELS, "cancelled_parts_total", "", "attempts cancelled")     \
+	X(CS_N_TICKETS, "tickets_total", "", "tickets issued")                 \
+	X(CS_N_ORDERS, "orders_total", "result=run", "orders by result")       \
+	X(CS_N_ORDERS_NOT_RUN, "orders_total", "result=not-run",               \
+	  "orders by result")                                                  \
+	X(CS_N_ORDERS_UNKNOWN, "orders_total", "result=unknown",               \
+	  "orders by result")                                                  \
+	X(CS_N_ORDER_REPLAYS, "order_replays_total", "",                       \
+	  "recorded results sent again")                                       \
+	X(CS_N_FORWARDS, "order_forwards_total", "",                           \
+	  "orders forwarded to their issuer")                                  \
+	X(CS_N_CONFIG_ACCEPTED, "config_total", "result=accepted",             \
+	  "configuration revisions offered")                                   \
+	X(CS_N_CONFIG_STALE, "config_total", "result=stale",                   \
+	  "configuration revisions offered")                                   \
+	X(CS_N_CONFIG_CONFLICT, "config_total", "result=conflict",             \
+	  "configuration revisions offered")                                   \
+	X(CS_N_CONFIG_INVALID, "config_total", "result=invalid",               \
+	  "configuration revisions offered")                                   \
+	X(CS_N_LIST_ACCEPTED, "list_total", "result=accepted",                 \
+	  "instance lists offered")                                            \
+	X(CS_N_LIST_STALE, "list_total", "result=stale",                       \
+	  "instance lists offered")                                            \
+	X(CS_N_LIST_HELD, "list_total", "result=held-back",                    \
+	  "instance lists offered")                                            \
+	X(CS_N_LIST_INVALID, "list_total", "result=invalid",                   \
+	  "instance lists offered")                                            \
+	X(CS_N_PLATFORM_CALLS, "platform_calls_total", "",                     \
+	  "calls to the platform")                                             \
+	X(CS_N_PLATFORM_ERRORS, "platform_errors_total", "",                   \
+	  "calls to the platform that failed")                                 \
+	X(CS_N_PEER_SENT, "peer_frames_total", "way=sent", "peer frames")      \
+	X(CS_N_PEER_RECEIVED, "peer_frames_total", "way=received",             \
+	  "peer frames")                                                       \
+	X(CS_N_PEER_BAD, "peer_rejected_total", "reason=form",                 \
+	  "peer frames rejected")                                              \
+	X(CS_N_PEER_UNLISTED, "peer_rejected_total", "reason=unlisted",        \
+	  "peer frames rejected")                                              \
+	X(CS_N_PEER_REPLAY, "peer_rejected_total", "reason=replay",            \
+	  "peer frames rejected")                                              \
+	X(CS_N_PEER_DROPPED, "peer_dropped_total", "",                         \
+	  "peer frames not taken by the link")                                 \
+	X(CS_N_SHEDS, "sheds_total", "", "refusals received from upstreams")   \
+	X(CS_N_RELAPSES, "relapses_total", "",                                 \
+	  "warm upstreams found cold again")                                   \
+	X(CS_N_WARMED, "warmed_total", "", "upstreams that became warm")       \
+	X(CS_N_PAUSES, "pauses_total", "", "late wake-ups of the process")     \
+	X(CS_N_CALLER_GONE, "caller_gone_total", "",                           \
+	  "callers that left before their answer")
+
+enum cs_counter {
+#define X(id, metric, label, help) id,
+	CS_COUNTER_TABLE(X)
+#undef X
+		CS_N_COUNTERS,
+};
+
+struct cs_counters;
+
+/**
+ * cs_counters_create - a set of counters, all at zero
+ *
+ * Return: a new set, owned by the caller.
+ */
+struct cs_counters *cs_counters_create(void);
+
+/**
+ * cs_counters_destroy - free a set
+ * @counters: a set or NULL
+ */
+void cs_counters_destroy(struct cs_counters *counters);
+
+/**
+ * cs_counters_add - count
+ * @counters: a set
+ * @which: the counter, below CS_N_COUNTERS
+ * @n: how much to add
+ */
+void cs_counters_add(struct cs_counters *counters, enum cs_counter which,
+		     guint64 n);
+
+/**
+ * cs_counters_refuse - count one refusal towards a caller
+ * @counters: a set
+ * @code: negative result code
+ */
+void cs_counters_refuse(struct cs_counters *counters, int code);
+
+/**
+ * cs_counters_get - read one counter
+ * @counters: a set
+ * @which: the counter, below CS_N_COUNTERS
+ *
+ * Return: its value.
+ */
+guint64 cs_counters_get(const struct cs_counters *counters,
+			enum cs_counter which);
+
+/**
+ * cs_counters_print - all counters in the metrics text form
+ * @counters: a set
+ *
+ * Return: a new string for g_free().
+ */
+char *cs_counters_print(const struct cs_counters *counters);
+
+#endif
--- /dev/null
+++ b/include/cuminsail/cuminsail.h
@@ -0,0 +1,45 @@
+/**
+ * cuminsail.h - every public header
+ *
+ * One library for each concern, each with a prefix of its own:
+ *
+ *   cs_        errors, clock, log, counters, JSON        src/share
+ *   config_    the operators' folder and its checks      src/libconfig
+ *   list_      the platform's list                       src/libconfig
+ *   settings_  the settings of one daemon                src/libconfig
+ *   policy_    all decisions, without input or output    src/libpolicy
+ *   caller_    HTTP towards callers                      src/libcaller
+ *   upstream_  HTTP towards upstreams                    src/libupstream
+ *   platform_  reading and watching the platform         src/libplatform
+ *   peer_      links between daemons                     src/libpeer
+ *   operator_  pages for operators                       src/liboperator
+ *   engine_    one daemon                                src/libengine
+ *
+ * Unless a header says otherwise, calls are made from the loop's one thread,
+ * strings are UTF-8 and end in NUL, times are microseconds of a struct
+ * cs_clock, and functions that return int return 0 or a negative code of
+ * error.h.
+ */
+#ifndef CUMINSAIL_CUMINSAIL_H
+#define CUMINSAIL_CUMINSAIL_H
+
+#include "cuminsail/caller.h"
+#include "cuminsail/clock.h"
+#include "cuminsail/config.h"
+#include "cuminsail/counters.h"
+#include "cuminsail/engine.h"
+#include "cuminsail/error.h"
+#include "cuminsail/json.h"
+#include "cuminsail/log.h"
+#include "cuminsail/operator.h"
+#include "cuminsail/peer.h"
+#include "cuminsail/platform.h"
+#include "cuminsail/policy_fleet.h"
+#include "cuminsail/policy_members.h"
+#include "cuminsail/policy_orders.h"
+#include "cuminsail/policy_owner.h"
+#include "cuminsail/policy_query.h"
+#include "cuminsail/policy_revision.h"
+#include "cuminsail/upstream.h"
+
+#endif
--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,64 @@
+# Shared by the scripts that start real processes: start, stop, wait, settings.
+# The caller sets BIN (build directory) and WORK (scratch directory).
+
+PIDS=""
+
+# start NAME COMMAND...: run in the background, remember the process id.
+start() {
+	_name=$1
+	shift
+	"$@" >"$WORK/$_name.out" 2>"$WORK/$_name.log" &
+	eval "PID_$(echo "$_name" | tr -c 'a-zA-Z0-9\n' _)=$!"
+	PIDS="$PIDS $!"
+}
+
+# pid_of NAME: the process id of a started process.
+pid_of() {
+	eval "echo \$PID_$(echo "$1" | tr -c 'a-zA-Z0-9\n' _)"
+}
+
+# stop_all: end every process that was started here, by its id.
+stop_all() {
+	for _pid in $PIDS; do
+		kill -CONT "$_pid" 2>/dev/null || true
+		kill -KILL "$_pid" 2>/dev/null || true
+	done
+	wait 2>/dev/null || true
+	PIDS=""
+}
+
+# await SECONDS COMMAND...: poll until the command succeeds.
+await() {
+	_left=$(($1 * 20))
+	shift
+	until "$@" >/dev/null 2>&1; do
+		_left=$((_left - 1))
+		[ "$_left" -gt 0 ] || return 1
+		sleep 0.05
+	done
+}
+
+ready() {
+	curl -sf "http://127.0.0.1:$1/ready"
+}
+
+# settings ID ZONE BASE PLATFORM-PORT PEER-ID PEER-BASE: one daemon's settings.
+# BASE is the caller port; +1 operators, +2 peers.
+settings() {
+	cat <<END
+{
+	"instance": "$1", "zone": "$2",
+	"caller": {"address": "127.0.0.1", "port": $3},
+	"operators": {"address": "127.0.0.1", "port": $(($3 + 1))},
+	"platform": {"address": "127.0.0.1", "port": $4},
+	"peer": {
+		"address": "127.0.0.1", "port": $(($3 + 2)),
+		"public_key": "Yne@\$w-vo<fVvi]a<NY6T1ed:M\$fCG*[IaLV{hID",
+		"secret_key": "D:)Q[IlAW!ahhC2ac:9*A}h:p?([4%wOTJ%JR%cs",
+		"peers": [{"id": "$5", "address": "127.0.0.1", "port": $(($6 + 2))}]
+	},
+	"limits": {"drain_ms": 500, "stop_ms": 10000, "ready_peers": 1,
+		"body_max": 8192, "receive_ms": 1000}
+}
+END
+}
--- /dev/null
+++ b/src/cuminsail/client.h
@@ -0,0 +1,37 @@
+/* Private: the subcommands of the operators' client. */
+#ifndef CUMINSAIL_CLIENT_H
+#define CUMINSAIL_CLIENT_H
+
+#include "cuminsail/json.h"
+
+/* Exit codes; cuminsail(1) lists them. */
+enum client_exit {
+	CLIENT_GOOD = 0,
+	CLIENT_BAD = 1, /* the answer is no: invalid, different, lags */
+	CLIENT_USAGE = 2, /* wrong arguments */
+	CLIENT_UNREACHABLE = 3, /* a daemon could not be asked */
+};
+
+struct client {
+	bool json;
+	GPtrArray *daemons; /* char *, "IP:port" of operators' pages */
+	GPtrArray *arguments; /* char *, after the subcommand */
+};
+
+/* folder.c */
+enum client_exit client_check(const struct client *client);
+enum client_exit client_merge(const struct client *client);
+enum client_exit client_diff(const struct client *client);
+
+/* remote.c */
+enum client_exit client_status(const struct client *client);
+enum client_exit client_upstreams(const struct client *client);
+enum client_exit client_zones(const struct client *client);
+enum client_exit client_config(const struct client *client);
+enum client_exit client_why(const struct client *client);
+
+/* table.c: an array of objects as a table, columns in the order given. */
+void client_print_table(const json_t *array, const char *const *columns);
+void client_print_json(const json_t *value);
+
+#endif
--- /dev/null
+++ b/src/cuminsail/folder.c
@@ -0,0 +1,150 @@
+/* check, merge and diff: a folder read exactly as a daemon reads it. */
+#include "client.h"
+
+#include "cuminsail/config.h"
+#include "cuminsail/error.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static json_t *merge_folder(const char *directory)
+{
+	g_autofree char *why = NULL;
+	GPtrArray *files = config_folder_read(directory, &why);
+	json_t *document = NULL;
+	int error = CS_E_IO;
+
+	if (files) {
+		document = config_merge(files, &error, &why);
+		g_ptr_array_unref(files);
+	}
+	if (!document)
+		fprintf(stderr, "%s: %s: %s\n", directory, cs_error_name(error),
+			why);
+	return document;
+}
+
+static bool check_document(const char *directory, json_t *document)
+{
+	g_autofree char *why = NULL;
+	int error;
+	struct config *config = config_create(document, &error, &why);
+
+	if (!config)
+		fprintf(stderr, "%s: %s: %s\n", directory, cs_error_name(error),
+			why);
+	config_destroy(config);
+	return config;
+}
+
+enum client_exit client_check(const struct client *client)
+{
+	const char *directory = client->arguments->pdata[0];
+	json_t *document = merge_folder(directory);
+	bool good = document && check_document(directory, document);
+
+	if (good) {
+		g_autofree char *digest = config_digest(document);
+
+		printf("%s: good, digest %s\n", directory, digest);
+	}
+	json_decref(document);
+	return good ? CLIENT_GOOD : CLIENT_BAD;
+}
+
+enum client_exit client_merge(const struct client *client)
+{
+	json_t *document = merge_folder(client->arguments->pdata[0]);
+	g_autofree char *digest = NULL;
+
+	if (!document)
+		return CLIENT_BAD;
+	digest = config_digest(document);
+	client_print_json(document);
+	fprintf(stderr, "digest %s\n", digest);
+	json_decref(document);
+	return CLIENT_GOOD;
+}
+
+static void print_change(const char *path, const json_t *before,
+			 const json_t *after)
+{
+	g_autofree char *old = before ? cs_json_print(before) : NULL;
+	g_autofree char *new = after ? cs_json_print(after) : NULL;
+
+	if (!old)
+		printf("%s: added, %s\n", path, new);
+	else if (!new)
+		printf("%s: removed, was %s\n", path, old);
+	else if (g_str_has_prefix(path, "zones.") &&
+		 g_str_has_suffix(path, ".out"))
+		printf("%s: the zone is %s\n", path,
+		       json_is_true(after) ? "taken out" : "brought back");
+	else
+		printf("%s: %s -> %s\n", path, old, new);
+}
+
+static int compare_keys(const void *a, const void *b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* The keys of both objects, sorted, each once; free the array only. */
+static GPtrArray *both_keys(json_t *before, json_t *after)
+{
+	GPtrArray *keys = g_ptr_array_new();
+	const char *key;
+	json_t *value;
+
+	json_object_foreach (before, key, value)
+		g_ptr_array_add(keys, (char *)key);
+	json_object_foreach (after, key, value) {
+		if (!json_object_get(before, key))
+			g_ptr_array_add(keys, (char *)key);
+	}
+	g_ptr_array_sort(keys, (GCompareFunc)compare_keys);
+	return keys;
+}
+
+static int print_diff(const char *path, json_t *before, json_t *after)
+{
+	g_autoptr(GPtrArray) keys = NULL;
+	int changes = 0;
+
+	if (json_equal(before, after))
+		return 0;
+	if (!json_is_object(before) || !json_is_object(after)) {
+		print_change(path, before, after);
+		return 1;
+	}
+	keys = both_keys(before, after);
+	for (guint i = 0; i < keys->len; i++) {
+		const char *key = keys->pdata[i];
+		g_autofree char *below =
+			*path ? g_strdup_printf("%s.%s", path, key)
+			      : g_strdup(key);
+
+		changes += print_diff(below, json_object_get(before, key),
+				      json_object_get(after, key));
+	}
+	return changes;
+}
+
+enum client_exit client_diff(const struct client *client)
+{
+	json_t *before = merge_folder(client->arguments->pdata[0]);
+	json_t *after = merge_folder(client->arguments->pdata[1]);
+	enum client_exit status = CLIENT_BAD;
+
+	if (before && after &&
+	    check_document(client->arguments->pdata[0], before) &&
+	    check_document(client->arguments->pdata[1], after)) {
+		int changes = print_diff("", before, after);
+
+		printf("%d change%s\n", changes, changes == 1 ? "" : "s");
+		status = changes ? CLIENT_BAD : CLIENT_GOOD;
+	}
+	json_decref(before);
+	json_decref(after);
+	return status;
+}
--- /dev/null
+++ b/src/cuminsaild/main.c
@@ -0,0 +1,150 @@
+/* cuminsaild: the daemon. */
+#include "cuminsail/config.h"
+#include "cuminsail/engine.h"
+#include "cuminsail/error.h"
+#include "cuminsail/log.h"
+
+#include <argp.h>
+#include <glib-unix.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define EXIT_SETTINGS 2
+
+const char *argp_program_version = "cuminsaild 0.1";
+
+struct arguments {
+	const char *settings;
+	bool check;
+	int log_level;
+};
+
+static const struct argp_option options[] = {
+	{"check", 'c', NULL, 0, "Check the settings and exit", 0},
+	{"log-level", 'l', "PRIORITY", 0,
+	 "Log events up to this syslog priority, 0 to 7 (default 6)", 0},
+	{0},
+};
+
+static error_t parse_option(int key, char *value, struct argp_state *state)
+{
+	struct arguments *arguments = state->input;
+	char *end;
+
+	switch (key) {
+	case 'c':
+		arguments->check = true;
+		return 0;
+	case 'l':
+		arguments->log_level = (int)strtol(value, &end, 10);
+		if (*end || arguments->log_level < 0 ||
+		    arguments->log_level > LOG_DEBUG)
+			argp_error(state, "--log-level takes 0 to 7");
+		return 0;
+	case ARGP_KEY_ARG:
+		if (arguments->settings)
+			argp_usage(state);
+		arguments->settings = value;
+		return 0;
+	case ARGP_KEY_END:
+		if (!arguments->settings)
+			argp_usage(state);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp argp = {
+	.options = options,
+	.parser = parse_option,
+	.args_doc = "SETTINGS",
+	.doc = "Serve queries and orders over many shards.\v"
+	       "SETTINGS is a JSON file; see cuminsaild(8). SIGTERM begins a "
+	       "graceful shutdown, a second one ends it at once.",
+};
+
+static struct settings *read_settings(const char *path)
+{
+	g_autofree char *text = NULL;
+	g_autofree char *why = NULL;
+	g_autoptr(GError) error = NULL;
+	struct settings *settings = NULL;
+	int code = CS_E_IO;
+
+	if (g_file_get_contents(path, &text, NULL, &error))
+		settings = settings_create(text, &code, &why);
+	if (!settings)
+		cs_log(LOG_ERR, "settings-refused", "file", path, "reason",
+		       cs_error_name(code), "why", error ? error->message : why,
+		       NULL);
+	return settings;
+}
+
+struct daemon {
+	GMainLoop *loop;
+	struct engine *engine;
+};
+
+static gboolean on_signal(gpointer user)
+{
+	struct daemon *daemon = user;
+
+	engine_stop(daemon->engine);
+	return G_SOURCE_CONTINUE;
+}
+
+static void on_stopped(void *user)
+{
+	struct daemon *daemon = user;
+
+	g_main_loop_quit(daemon->loop);
+}
+
+static int run(const struct settings *settings)
+{
+	struct cs_clock *clock = cs_clock_create();
+	g_autofree char *why = NULL;
+	struct daemon daemon = {.loop = g_main_loop_new(NULL, FALSE)};
+	guint term;
+	guint interrupt;
+
+	daemon.engine =
+		engine_create(clock, settings, on_stopped, &daemon, &why);
+	if (!daemon.engine) {
+		cs_log(LOG_ERR, "start-failed", "why", why, NULL);
+		g_main_loop_unref(daemon.loop);
+		cs_clock_destroy(clock);
+		return EXIT_FAILURE;
+	}
+	term = g_unix_signal_add(SIGTERM, on_signal, &daemon);
+	interrupt = g_unix_signal_add(SIGINT, on_signal, &daemon);
+	g_main_loop_run(daemon.loop);
+	g_source_remove(term);
+	g_source_remove(interrupt);
+	engine_destroy(daemon.engine);
+	g_main_loop_unref(daemon.loop);
+	cs_clock_destroy(clock);
+	return EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv)
+{
+	struct arguments arguments = {.log_level = LOG_INFO};
+	struct settings *settings;
+	int status = EXIT_SUCCESS;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+	cs_log_set_level(arguments.log_level);
+	signal(SIGPIPE, SIG_IGN);
+	settings = read_settings(arguments.settings);
+	if (!settings)
+		return EXIT_SETTINGS;
+	if (arguments.check)
+		puts("settings are good");
+	else
+		status = run(settings);
+	settings_destroy(settings);
+	return status;
+}
--- /dev/null
+++ b/src/libconfig/list.c
@@ -0,0 +1,331 @@
+/* The platform's list of instances and snapshots. */
+#include "cuminsail/config.h"
+
+#include "cuminsail/error.h"
+
+#define AT(type, member) offsetof(struct type, member)
+
+#define DOCUMENTS_MAX 1e12
+#define REVISION_MAX  9e15
+
+static void destroy_daemon(struct list_daemon *daemon)
+{
+	g_free(daemon->id);
+	g_free(daemon->zone);
+	g_free(daemon->address);
+	g_free(daemon);
+}
+
+static void destroy_upstream(struct list_upstream *upstream)
+{
+	g_free(upstream->id);
+	g_free(upstream->service);
+	g_free(upstream->shard);
+	g_free(upstream->zone);
+	g_free(upstream->address);
+	g_free(upstream->incarnation);
+	g_ptr_array_unref(upstream->snapshots);
+	g_free(upstream);
+}
+
+static void destroy_shard(struct list_shard *shard)
+{
+	g_free(shard->id);
+	g_free(shard);
+}
+
+static void destroy_snapshot(struct list_snapshot *snapshot)
+{
+	g_free(snapshot->service);
+	g_free(snapshot->id);
+	g_ptr_array_unref(snapshot->shards);
+	g_free(snapshot);
+}
+
+static const struct cs_field daemon_fields[] = {
+	{"id", CS_FIELD_STRING, AT(list_daemon, id), true, 1, CS_NAME_MAX},
+	{"zone", CS_FIELD_STRING, AT(list_daemon, zone), true, 1, CS_NAME_MAX},
+	{"address", CS_FIELD_STRING, AT(list_daemon, address), true, 3, 64},
+	{"leaving", CS_FIELD_BOOL, AT(list_daemon, leaving), false, 0, 0},
+};
+
+static int read_daemon(struct list *list, json_t *value, const char *path,
+		       char **why)
+{
+	struct list_daemon *daemon = g_new0(struct list_daemon, 1);
+
+	int error;
+
+	g_ptr_array_add(list->daemons, daemon);
+	error = cs_json_read(value, path, daemon_fields,
+			     G_N_ELEMENTS(daemon_fields), CS_UNKNOWN_IGNORE,
+			     daemon, why);
+	if (error)
+		return error;
+	return config_check_endpoint(path, daemon->address, why);
+}
+
+static int read_names(json_t *array, GPtrArray *names, const char *path,
+		      char **why)
+{
+	size_t index;
+	json_t *value;
+
+	json_array_foreach (array, index, value) {
+		size_t length = json_string_length(value);
+
+		if (!json_is_string(value) || !length || length > CS_NAME_MAX) {
+			cs_why(why, "%s[%zu]: must be a name", path, index);
+			return CS_E_TYPE;
+		}
+		g_ptr_array_add(names, g_strdup(json_string_value(value)));
+	}
+	return 0;
+}
+
+struct raw_upstream {
+	struct list_upstream *base;
+	char *id;
+	char *service;
+	char *shard;
+	char *zone;
+	char *address;
+	char *incarnation;
+	bool leaving;
+	json_t *snapshots;
+};
+
+static const struct cs_field upstream_fields[] = {
+	{"id", CS_FIELD_STRING, AT(raw_upstream, id), true, 1, CS_NAME_MAX},
+	{"service", CS_FIELD_STRING, AT(raw_upstream, service), true, 1,
+	 CS_NAME_MAX},
+	{"shard", CS_FIELD_STRING, AT(raw_upstream, shard), true, 1,
+	 CS_NAME_MAX},
+	{"zone", CS_FIELD_STRING, AT(raw_upstream, zone), true, 1, CS_NAME_MAX},
+	{"address", CS_FIELD_STRING, AT(raw_upstream, address), true, 3, 64},
+	{"incarnation", CS_FIELD_STRING, AT(raw_upstream, incarnation), true, 1,
+	 CS_NAME_MAX},
+	{"leaving", CS_FIELD_BOOL, AT(raw_upstream, leaving), false, 0, 0},
+	{"snapshots", CS_FIELD_ARRAY, AT(raw_upstream, snapshots), true, 0, 0},
+};
+
+static int read_upstream(struct list *list, json_t *value, const char *path,
+			 char **why)
+{
+	struct list_upstream *upstream = g_new0(struct list_upstream, 1);
+	struct raw_upstream raw = {0};
+	int error;
+
+	upstream->snapshots = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(list->upstreams, upstream);
+	error = cs_json_read(value, path, upstream_fields,
+			     G_N_ELEMENTS(upstream_fields), CS_UNKNOWN_IGNORE,
+			     &raw, why);
+	upstream->id = raw.id;
+	upstream->service = raw.service;
+	upstream->shard = raw.shard;
+	upstream->zone = raw.zone;
+	upstream->address = raw.address;
+	upstream->incarnation = raw.incarnation;
+	upstream->leaving = raw.leaving;
+	if (!error)
+		error = config_check_endpoint(path, raw.address, why);
+	if (error)
+		return error;
+	return read_names(raw.snapshots, upstream->snapshots, path, why);
+}
+
+static const struct cs_field shard_fields[] = {
+	{"id", CS_FIELD_STRING, AT(list_shard, id), true, 1, CS_NAME_MAX},
+	{"documents", CS_FIELD_INT, AT(list_shard, documents), true, 0,
+	 DOCUMENTS_MAX},
+};
+
+static int read_shards(struct list_snapshot *snapshot, json_t *array,
+		       const char *path, char **why)
+{
+	size_t index;
+	json_t *value;
+
+	if (!json_array_size(array)) {
+		cs_why(why, "%s.shards: empty", path);
+		return CS_E_RANGE;
+	}
+	json_array_foreach (array, index, value) {
+		g_autofree char *at =
+			g_strdup_printf("%s.shards[%zu]", path, index);
+		struct list_shard *shard = g_new0(struct list_shard, 1);
+		int error;
+
+		g_ptr_array_add(snapshot->shards, shard);
+		error = cs_json_read(value, at, shard_fields,
+				     G_N_ELEMENTS(shard_fields),
+				     CS_UNKNOWN_IGNORE, shard, why);
+		if (error)
+			return error;
+	}
+	return 0;
+}
+
+static int check_shards(const struct list_snapshot *snapshot, const char *path,
+			char **why)
+{
+	g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < snapshot->shards->len; i++) {
+		const struct list_shard *shard = snapshot->shards->pdata[i];
+
+		if (!g_hash_table_add(seen, shard->id)) {
+			cs_why(why, "%s.shards: %s stands twice", path,
+			       shard->id);
+			return CS_E_DUPLICATE;
+		}
+	}
+	return 0;
+}
+
+struct raw_snapshot {
+	char *service;
+	char *id;
+	gint64 map;
+	json_t *shards;
+};
+
+static const struct cs_field snapshot_fields[] = {
+	{"service", CS_FIELD_STRING, AT(raw_snapshot, service), true, 1,
+	 CS_NAME_MAX},
+	{"id", CS_FIELD_STRING, AT(raw_snapshot, id), true, 1, CS_NAME_MAX},
+	{"map", CS_FIELD_INT, AT(raw_snapshot, map), true, 0, REVISION_MAX},
+	{"shards", CS_FIELD_ARRAY, AT(raw_snapshot, shards), true, 0, 0},
+};
+
+static int read_snapshot(struct list *list, json_t *value, const char *path,
+			 char **why)
+{
+	struct list_snapshot *snapshot = g_new0(struct list_snapshot, 1);
+	struct raw_snapshot raw = {0};
+	int error;
+
+	snapshot->shards =
+		g_ptr_array_new_with_free_func((GDestroyNotify)destroy_shard);
+	g_ptr_array_add(list->snapshots, snapshot);
+	error = cs_json_read(value, path, snapshot_fields,
+			     G_N_ELEMENTS(snapshot_fields), CS_UNKNOWN_IGNORE,
+			     &raw, why);
+	snapshot->service = raw.service;
+	snapshot->id = raw.id;
+	snapshot->map = raw.map;
+	if (!error)
+		error = read_shards(snapshot, raw.shards, path, why);
+	if (!error)
+		error = check_shards(snapshot, path, why);
+	return error;
+}
+
+static int read_array(struct list *list, json_t *array, const char *name,
+		      int (*read)(struct list *list, json_t *value,
+				  const char *path, char **why),
+		      char **why)
+{
+	size_t index;
+	json_t *value;
+
+	json_array_foreach (array, index, value) {
+		g_autofree char *path = g_strdup_printf("%s[%zu]", name, index);
+		int error = read(list, value, path, why);
+
+		if (error)
+			return error;
+	}
+	return 0;
+}
+
+static int check_ids(const struct list *list, char **why)
+{
+	g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < list->upstreams->len; i++) {
+		const struct list_upstream *upstream =
+			list->upstreams->pdata[i];
+
+		if (!g_hash_table_add(seen, upstream->id)) {
+			cs_why(why, "upstreams: %s stands twice", upstream->id);
+			return CS_E_DUPLICATE;
+		}
+	}
+	g_hash_table_remove_all(seen);
+	for (guint i = 0; i < list->daemons->len; i++) {
+		const struct list_daemon *daemon = list->daemons->pdata[i];
+
+		if (!g_hash_table_add(seen, daemon->id)) {
+			cs_why(why, "daemons: %s stands twice", daemon->id);
+			return CS_E_DUPLICATE;
+		}
+	}
+	return 0;
+}
+
+struct raw_list {
+	gint64 revision;
+	json_t *daemons;
+	json_t *upstreams;
+	json_t *snapshots;
+};
+
+static const struct cs_field list_fields[] = {
+	{"revision", CS_FIELD_INT, AT(raw_list, revision), true, 1,
+	 REVISION_MAX},
+	{"daemons", CS_FIELD_ARRAY, AT(raw_list, daemons), true, 0, 0},
+	{"upstreams", CS_FIELD_ARRAY, AT(raw_list, upstreams), true, 0, 0},
+	{"snapshots", CS_FIELD_ARRAY, AT(raw_list, snapshots), true, 0, 0},
+};
+
+static int read_list(struct list *list, json_t *document, char **why)
+{
+	struct raw_list raw = {0};
+	int error;
+
+	error = cs_json_read(document, "list", list_fields,
+			     G_N_ELEMENTS(list_fields), CS_UNKNOWN_IGNORE, &raw,
+			     why);
+	list->revision = raw.revision;
+	if (!error)
+		error = read_array(list, raw.daemons, "daemons", read_daemon,
+				   why);
+	if (!error)
+		error = read_array(list, raw.upstreams, "upstreams",
+				   read_upstream, why);
+	if (!error)
+		error = read_array(list, raw.snapshots, "snapshots",
+				   read_snapshot, why);
+	if (!error)
+		error = check_ids(list, why);
+	return error;
+}
+
+struct list *list_create(json_t *document, int *error, char **why)
+{
+	struct list *list = g_new0(struct list, 1);
+
+	list->daemons =
+		g_ptr_array_new_with_free_func((GDestroyNotify)destroy_daemon);
+	list->upstreams = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)destroy_upstream);
+	list->snapshots = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)destroy_snapshot);
+	*error = read_list(list, document, why);
+	if (!*error)
+		return list;
+	list_destroy(list);
+	return NULL;
+}
+
+void list_destroy(struct list *list)
+{
+	if (!list)
+		return;
+	g_ptr_array_unref(list->daemons);
+	g_ptr_array_unref(list->upstreams);
+	g_ptr_array_unref(list->snapshots);
+	g_free(list);
+}
--- /dev/null
+++ b/src/libengine/engine.c
@@ -0,0 +1,347 @@
+/* A daemon's life: starting, serving, beating, stopping. */
+#include "internal.h"
+
+#include <string.h>
+
+/* Time between beats to the peers. */
+#define BEAT_US (500 * CS_US_PER_MS)
+
+/* Silence after which a peer is suspect. */
+#define SUSPECT_US (2 * CS_US_PER_S)
+
+/* A beat this late means that the process slept. */
+#define ASLEEP_US (1 * CS_US_PER_S)
+
+/* Longest wait for peers before a starting daemon is ready without them. */
+#define HEAR_PEERS_US (2 * CS_US_PER_S)
+
+/* How often a stopping daemon looks whether all is done. */
+#define STOP_LOOK_US (20 * CS_US_PER_MS)
+
+#define engine_of(timer, member)                                               \
+	((struct engine *)((char *)(timer)-offsetof(struct engine, member)))
+
+gint64 engine_now(const struct engine *engine)
+{
+	return cs_clock_now(engine->clock);
+}
+
+bool engine_was_asleep(const struct engine *engine)
+{
+	return engine_now(engine) - engine->beat.due_us > ASLEEP_US;
+}
+
+gint64 engine_deadline_ms(const struct config_service *service, gint64 asked_ms)
+{
+	if (asked_ms <= 0)
+		return service->deadline_ms;
+	return MIN(asked_ms, service->deadline_max_ms);
+}
+
+bool engine_ready(struct engine *engine)
+{
+	gint64 now = engine_now(engine);
+
+	if (engine->phase != ENGINE_SERVING ||
+	    !policy_fleet_config(engine->fleet) ||
+	    !policy_fleet_list(engine->fleet))
+		return false;
+	if (policy_members_alive(engine->members, now) >=
+	    engine->settings->ready_peers)
+		return true;
+	return now - engine->started_us >= HEAR_PEERS_US;
+}
+
+static bool is_ready(void *user)
+{
+	return engine_ready(user);
+}
+
+/* ---- callers ---- */
+
+static int refusal(struct engine *engine, const struct caller_request *request)
+{
+	struct policy_service *service;
+	enum config_kind wanted;
+
+	if (engine->phase >= ENGINE_STOPPING)
+		return CS_E_STOPPING;
+	if (!policy_fleet_config(engine->fleet) ||
+	    !policy_fleet_list(engine->fleet))
+		return CS_E_NOT_READY;
+	service = policy_fleet_service(engine->fleet, request->service);
+	if (!service)
+		return CS_E_SERVICE;
+	wanted = request->kind == CALLER_QUERY ? CONFIG_QUERY : CONFIG_ORDER;
+	if (policy_service_config(service)->kind != wanted)
+		return CS_E_KIND;
+	return 0;
+}
+
+/* An order refused here says nothing of an earlier try at the issuer. */
+static enum cs_outcome refusal_outcome(const struct caller_request *request)
+{
+	return request->kind == CALLER_ORDER ? CS_UNKNOWN : CS_NOT_RUN;
+}
+
+static void on_request(struct caller_exchange *exchange,
+		       const struct caller_request *request, void *user)
+{
+	struct engine *engine = user;
+	int error = refusal(engine, request);
+
+	if (error) {
+		caller_exchange_refuse(exchange, error,
+				       refusal_outcome(request), NULL);
+		return;
+	}
+	switch (request->kind) {
+	case CALLER_QUERY:
+		engine_begin_query(engine, exchange, request);
+		break;
+	case CALLER_TICKET:
+		engine_begin_ticket(engine, exchange, request);
+		break;
+	case CALLER_ORDER:
+		engine_begin_order(engine, exchange, request);
+		break;
+	}
+}
+
+/* A query is cancelled; an order that was begun goes on. */
+static void on_gone(struct caller_exchange *exchange, void *user)
+{
+	struct engine_job *job = caller_exchange_data(exchange);
+
+	if (!job)
+		return;
+	switch (job->kind) {
+	case JOB_QUERY:
+		engine_drop_query((struct query_job *)job);
+		break;
+	case JOB_ORDER:
+		engine_drop_order_wait((struct order_wait *)job);
+		break;
+	}
+}
+
+/* ---- peers ---- */
+
+static void on_frame(const struct peer_frame *frame, void *user)
+{
+	struct engine *engine = user;
+
+	switch (frame->kind) {
+	case PEER_BEAT:
+		engine_take_beat(engine, frame);
+		break;
+	case PEER_CONFIG:
+		engine_take_config(engine, frame);
+		break;
+	case PEER_LIST:
+		engine_take_list(engine, frame);
+		break;
+	case PEER_ORDER:
+		engine_take_order(engine, frame);
+		break;
+	case PEER_RESULT:
+		engine_take_result(engine, frame);
+		break;
+	}
+}
+
+static void on_beat(struct cs_timer *timer)
+{
+	struct engine *engine = engine_of(timer, beat);
+	gint64 now = engine_now(engine);
+
+	if (now - timer->due_us > ASLEEP_US) {
+		g_autofree char *late =
+			g_strdup_printf("%" G_GINT64_FORMAT,
+					(now - timer->due_us) / CS_US_PER_MS);
+
+		cs_counters_add(engine->counters, CS_N_PAUSES, 1);
+		cs_log(LOG_WARNING, "woke-late", "late_ms", late, NULL);
+	}
+	policy_members_forget(engine->members, now);
+	policy_orders_expire(engine->orders, now);
+	engine_send_beat(engine);
+	cs_timer_arm(engine->clock, timer, now + BEAT_US);
+}
+
+/* ---- stopping ---- */
+
+static guint count_open(const struct engine *engine)
+{
+	return caller_server_open(engine->caller);
+}
+
+static void end_stop(struct engine *engine)
+{
+	g_autofree char *cut = g_strdup_printf("%u", count_open(engine));
+
+	engine->phase = ENGINE_STOPPED;
+	cs_log(LOG_NOTICE, "stopped", "requests_cut", cut, NULL);
+	engine->stopped(engine->user);
+}
+
+static void on_stop(struct cs_timer *timer)
+{
+	struct engine *engine = engine_of(timer, stop);
+	gint64 now = engine_now(engine);
+	bool busy = count_open(engine) || engine_has_orders(engine);
+
+	if (engine->phase == ENGINE_DRAINING) {
+		engine->phase = ENGINE_STOPPING;
+		caller_server_stop(engine->caller);
+	}
+	if (busy && now < engine->stop_by_us)
+		cs_timer_arm(engine->clock, timer, now + STOP_LOOK_US);
+	else
+		end_stop(engine);
+}
+
+void engine_stop(struct engine *engine)
+{
+	gint64 now = engine_now(engine);
+	const struct settings *settings = engine->settings;
+
+	if (engine->phase != ENGINE_SERVING) {
+		cs_timer_disarm(engine->clock, &engine->stop);
+		end_stop(engine);
+		return;
+	}
+	engine->phase = ENGINE_DRAINING;
+	engine->stop_by_us =
+		now + (settings->drain_ms + settings->stop_ms) * CS_US_PER_MS;
+	caller_server_drain(engine->caller);
+	engine_send_beat(engine);
+	cs_log(LOG_NOTICE, "draining", NULL);
+	cs_timer_arm(engine->clock, &engine->stop,
+		     now + settings->drain_ms * CS_US_PER_MS);
+}
+
+/* ---- starting ---- */
+
+static char *random_key(void)
+{
+	g_autofree char *a = g_uuid_string_random();
+	g_autofree char *b = g_uuid_string_random();
+
+	return g_strconcat(a, b, NULL);
+}
+
+static struct policy_orders *create_orders(const struct engine *engine)
+{
+	const struct settings *settings = engine->settings;
+	g_autofree char *key = random_key();
+	g_autofree char *incarnation = g_strdup_printf(
+		"%" G_GUINT64_FORMAT, peer_links_incarnation(engine->links));
+	struct policy_orders_limits limits = {
+		.records_max = settings->tickets_max,
+		.ticket_us = settings->ticket_ms * CS_US_PER_MS,
+		.record_us = settings->record_ms * CS_US_PER_MS,
+	};
+
+	return policy_orders_create(settings->instance, incarnation, key,
+				    &limits);
+}
+
+static bool open_sockets(struct engine *engine, char **why)
+{
+	const struct settings *settings = engine->settings;
+	struct peer_hooks peer_hooks = {on_frame, engine};
+	struct caller_hooks caller_hooks = {on_request, on_gone, engine};
+	struct operator_hooks operator_hooks = {engine_read_page, is_ready,
+						engine};
+
+	engine->links =
+		peer_links_create(settings, engine->counters, &peer_hooks, why);
+	if (!engine->links)
+		return false;
+	engine->caller = caller_server_create(
+		engine->clock, settings, engine->counters, &caller_hooks, why);
+	if (!engine->caller)
+		return false;
+	engine->operators = operator_server_create(
+		&settings->operators, engine->counters, &operator_hooks, why);
+	return engine->operators;
+}
+
+static void init_state(struct engine *engine)
+{
+	const struct settings *settings = engine->settings;
+
+	engine->counters = cs_counters_create();
+	engine->fleet = policy_fleet_create(settings->instance, settings->zone,
+					    engine->counters, g_random_int());
+	engine->members = policy_members_create(SUSPECT_US);
+	engine->upstreams =
+		upstream_client_create(engine->clock, settings->answer_max);
+	engine->history = history_create(settings->history);
+	engine->pushed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	engine->started_us = engine_now(engine);
+	engine->beat.fire = on_beat;
+	engine->stop.fire = on_stop;
+	TAILQ_INIT(&engine->queries);
+	TAILQ_INIT(&engine->order_jobs);
+	TAILQ_INIT(&engine->order_waits);
+}
+
+struct engine *engine_create(struct cs_clock *clock,
+			     const struct settings *settings,
+			     void (*stopped)(void *user), void *user,
+			     char **why)
+{
+	struct engine *engine = g_new0(struct engine, 1);
+	struct platform_hooks platform_hooks = {engine_offer_files,
+						engine_offer_list,
+						engine_list_same, engine};
+
+	engine->clock = clock;
+	engine->settings = settings;
+	engine->stopped = stopped;
+	engine->user = user;
+	init_state(engine);
+	if (!open_sockets(engine, why)) {
+		engine_destroy(engine);
+		return NULL;
+	}
+	engine->orders = create_orders(engine);
+	engine->platform = platform_create(clock, settings, engine->counters,
+					   &platform_hooks);
+	cs_timer_arm(clock, &engine->beat, engine->started_us + BEAT_US);
+	cs_log(LOG_NOTICE, "started", "instance", settings->instance, "zone",
+	       settings->zone, NULL);
+	return engine;
+}
+
+void engine_destroy(struct engine *engine)
+{
+	if (!engine)
+		return;
+	cs_timer_disarm(engine->clock, &engine->beat);
+	cs_timer_disarm(engine->clock, &engine->stop);
+	platform_destroy(engine->platform);
+	while (!TAILQ_EMPTY(&engine->queries))
+		engine_drop_query(TAILQ_FIRST(&engine->queries));
+	engine_free_orders(engine);
+	caller_server_destroy(engine->caller);
+	operator_server_destroy(engine->operators);
+	peer_links_destroy(engine->links);
+	/* Cancelled calls are freed by their last callbacks. */
+	while (g_main_context_iteration(NULL, FALSE))
+		continue;
+	upstream_client_destroy(engine->upstreams);
+	policy_orders_destroy(engine->orders);
+	policy_members_destroy(engine->members);
+	policy_fleet_destroy(engine->fleet);
+	policy_revision_clear(&engine->config_revision);
+	history_destroy(engine->history);
+	g_hash_table_unref(engine->pushed);
+	cs_counters_destroy(engine->counters);
+	g_free(engine->config_text);
+	g_free(engine->list_text);
+	g_free(engine);
+}
--- /dev/null
+++ b/src/libengine/orders.c
@@ -0,0 +1,534 @@
+/* Tickets, the run of orders, and forwarding to the issuer. */
+#include "internal.h"
+
+#include <string.h>
+
+/* The run of one order, and all that wait for its result. */
+struct order_job {
+	TAILQ_ENTRY(order_job) link;
+	struct cs_timer timer;
+	struct engine *engine;
+	struct policy_service *service;
+	struct policy_order *order;
+	struct policy_run *run;
+	struct upstream_call *call;
+	char *request_id;
+	json_t *body;
+	char *answer;
+};
+
+enum wait_kind {
+	WAIT_CALLER, /* a caller waits for a run here */
+	WAIT_PEER, /* a peer waits for a run here */
+	WAIT_ISSUER, /* a caller waits for a run at the issuer */
+};
+
+/* One that waits for a result. */
+struct order_wait {
+	struct engine_job base;
+	TAILQ_ENTRY(order_wait) link;
+	struct cs_timer timer;
+	struct engine *engine;
+	enum wait_kind kind;
+	struct policy_order *order; /* WAIT_CALLER, WAIT_PEER */
+	struct caller_exchange *exchange; /* WAIT_CALLER, WAIT_ISSUER */
+	char *peer; /* WAIT_PEER, WAIT_ISSUER */
+	guint64 tag;
+};
+
+#define wait_of(ptr)                                                           \
+	((struct order_wait *)((char *)(ptr)-offsetof(struct order_wait,       \
+						      timer)))
+#define job_of(ptr)                                                            \
+	((struct order_job *)((char *)(ptr)-offsetof(struct order_job, timer)))
+
+/* ---- those who wait ---- */
+
+static void free_wait(struct order_wait *wait)
+{
+	cs_timer_disarm(wait->engine->clock, &wait->timer);
+	TAILQ_REMOVE(&wait->engine->order_waits, wait, link);
+	g_free(wait->peer);
+	g_free(wait);
+}
+
+void engine_drop_order_wait(struct order_wait *wait)
+{
+	free_wait(wait);
+}
+
+static void reply_caller(struct caller_exchange *exchange,
+			 const struct policy_order_result *result)
+{
+	json_t *answer;
+
+	caller_exchange_set_data(exchange, NULL);
+	if (result->outcome != CS_ANSWERED) {
+		caller_exchange_refuse(exchange, result->code, result->outcome,
+				       NULL);
+		return;
+	}
+	answer = json_loads(result->body ? result->body : "null",
+			    JSON_DECODE_ANY, NULL);
+	caller_exchange_reply(
+		exchange, json_pack("{s:s,s:O?}", "outcome",
+				    cs_outcome_name(result->outcome), "result",
+				    json_object_get(answer, "result")));
+	json_decref(answer);
+}
+
+static void reply_peer(struct engine *engine, const char *peer, guint64 tag,
+		       const struct policy_order_result *result)
+{
+	struct peer_frame frame = {
+		.kind = PEER_RESULT,
+		.result =
+			{
+				.tag = tag,
+				.code = result->code,
+				.outcome = (gint32)result->outcome,
+				.body = result->body ? result->body : "",
+			},
+	};
+
+	peer_links_send(engine->links, peer, &frame);
+}
+
+/* Give a result and forget the one who waited. */
+static void settle(struct order_wait *wait,
+		   const struct policy_order_result *result)
+{
+	switch (wait->kind) {
+	case WAIT_CALLER:
+	case WAIT_ISSUER:
+		reply_caller(wait->exchange, result);
+		break;
+	case WAIT_PEER:
+		reply_peer(wait->engine, wait->peer, wait->tag, result);
+		break;
+	}
+	free_wait(wait);
+}
+
+/* The wait ends, the run goes on: nothing proves either way. */
+static void on_wait_timeout(struct cs_timer *timer)
+{
+	struct order_wait *wait = wait_of(timer);
+	struct policy_order_result result = {
+		.code = wait->kind == WAIT_ISSUER ? CS_E_ISSUER : CS_E_DEADLINE,
+		.outcome = CS_UNKNOWN,
+	};
+
+	settle(wait, &result);
+}
+
+static struct order_wait *create_wait(struct engine *engine,
+				      enum wait_kind kind, gint64 wait_ms)
+{
+	struct order_wait *wait = g_new0(struct order_wait, 1);
+
+	wait->base.kind = JOB_ORDER;
+	wait->timer.fire = on_wait_timeout;
+	wait->engine = engine;
+	wait->kind = kind;
+	TAILQ_INSERT_TAIL(&engine->order_waits, wait, link);
+	cs_timer_arm(engine->clock, &wait->timer,
+		     engine_now(engine) + wait_ms * CS_US_PER_MS);
+	return wait;
+}
+
+static void settle_all(struct engine *engine, const struct policy_order *order,
+		       const struct policy_order_result *result)
+{
+	struct order_wait *wait = TAILQ_FIRST(&engine->order_waits);
+
+	while (wait) {
+		struct order_wait *next = TAILQ_NEXT(wait, link);
+
+		if (wait->order == order && wait->kind != WAIT_ISSUER)
+			settle(wait, result);
+		wait = next;
+	}
+}
+
+/* ---- the run ---- */
+
+static void free_order_job(struct order_job *job)
+{
+	struct engine *engine = job->engine;
+
+	cs_timer_disarm(engine->clock, &job->timer);
+	if (job->call)
+		upstream_call_destroy(job->call);
+	TAILQ_REMOVE(&engine->order_jobs, job, link);
+	policy_run_destroy(job->run, engine_now(engine));
+	json_decref(job->body);
+	g_free(job->request_id);
+	g_free(job->answer);
+	g_free(job);
+}
+
+static void count_result(struct engine *engine, enum cs_outcome outcome)
+{
+	switch (outcome) {
+	case CS_ANSWERED:
+		cs_counters_add(engine->counters, CS_N_ORDERS, 1);
+		break;
+	case CS_NOT_RUN:
+		cs_counters_add(engine->counters, CS_N_ORDERS_NOT_RUN, 1);
+		break;
+	case CS_UNKNOWN:
+		cs_counters_add(engine->counters, CS_N_ORDERS_UNKNOWN, 1);
+		break;
+	}
+}
+
+static void finish_run(struct order_job *job)
+{
+	struct engine *engine = job->engine;
+	struct policy_order *order = job->order;
+	struct policy_order_result result = {.body = job->answer};
+
+	result.code = policy_run_result(job->run, &result.outcome);
+	count_result(engine, result.outcome);
+	cs_log(LOG_INFO, "order", "request", job->request_id, "service",
+	       policy_service_config(job->service)->name, "outcome",
+	       cs_outcome_name(result.outcome), "reason",
+	       cs_error_name(result.code), NULL);
+	policy_order_finish(order, &result);
+	settle_all(engine, order, policy_order_result(order));
+	free_order_job(job);
+}
+
+static void drive(struct order_job *job);
+
+static void on_reply(struct upstream_call *call, struct upstream_reply *reply,
+		     void *user)
+{
+	struct order_job *job = user;
+	struct engine *engine = job->engine;
+	struct policy_service *service = job->service;
+	struct policy_upstream *upstream = policy_run_upstream(job->run);
+	struct policy_word word = {
+		.incarnation = reply->incarnation,
+		.draining = reply->draining,
+		.cold = reply->cold,
+	};
+
+	job->call = NULL;
+	if (upstream)
+		policy_upstream_heard(engine->fleet, upstream, &word);
+	job->answer = g_steal_pointer(&reply->body);
+	policy_run_closed(job->run, policy_run_attempt(job->run), reply->result,
+			  engine_now(engine));
+	drive(job);
+	engine_poke_waiters(engine, service);
+}
+
+static void send_order(struct order_job *job,
+		       const struct policy_action *action)
+{
+	struct upstream_request request = {
+		.service = policy_service_config(job->service)->name,
+		.address = action->upstream->address,
+		.request_id = job->request_id,
+		.attempt = action->attempt,
+		.deadline_us = action->deadline_us,
+		.connections = (gint64)action->upstream->limit + 1,
+		.body = job->body,
+	};
+
+	job->call = upstream_call_create(job->engine->upstreams, &request,
+					 on_reply, job);
+}
+
+static void drop_call(struct order_job *job)
+{
+	if (job->call)
+		upstream_call_destroy(job->call);
+	job->call = NULL;
+}
+
+/* Carry out all actions; the job may be gone afterwards. */
+static void drive(struct order_job *job)
+{
+	struct policy_action action;
+
+	while (policy_run_next(job->run, &action)) {
+		switch (action.kind) {
+		case POLICY_SEND:
+			send_order(job, &action);
+			break;
+		case POLICY_CANCEL:
+			drop_call(job);
+			break;
+		case POLICY_FINISH:
+			drop_call(job);
+			finish_run(job);
+			return;
+		}
+	}
+	cs_timer_arm(job->engine->clock, &job->timer,
+		     policy_run_wake(job->run));
+}
+
+static void on_timer(struct cs_timer *timer)
+{
+	struct order_job *job = job_of(timer);
+
+	policy_run_tick(job->run, engine_now(job->engine));
+	drive(job);
+}
+
+/* Why an order may not be started here and now; 0 if it may. */
+static int start_refusal(const struct engine *engine)
+{
+	if (engine->phase >= ENGINE_STOPPING)
+		return CS_E_STOPPING;
+	if (engine_was_asleep(engine))
+		return CS_E_PAUSED;
+	return 0;
+}
+
+static void start_run(struct engine *engine, struct policy_service *service,
+		      struct policy_order *order, const char *request_id,
+		      json_t *body, gint64 wait_ms)
+{
+	gint64 now = engine_now(engine);
+	int error = start_refusal(engine);
+	struct policy_run *run = NULL;
+	struct order_job *job;
+
+	if (!error)
+		run = policy_run_create(
+			engine->fleet, service, engine->counters,
+			now + wait_ms * CS_US_PER_MS, now, &error);
+	if (!run) {
+		struct policy_order_result result = {
+			.code = error,
+			.outcome = CS_NOT_RUN,
+		};
+
+		count_result(engine, CS_NOT_RUN);
+		policy_order_finish(order, &result);
+		settle_all(engine, order, policy_order_result(order));
+		return;
+	}
+	job = g_new0(struct order_job, 1);
+	job->timer.fire = on_timer;
+	job->engine = engine;
+	job->service = service;
+	job->order = order;
+	job->run = run;
+	job->request_id = g_strdup(request_id);
+	job->body = json_incref(body);
+	TAILQ_INSERT_TAIL(&engine->order_jobs, job, link);
+	drive(job);
+}
+
+/* ---- at the issuer ---- */
+
+/* An order of this daemon's ticket: run it, join its run, or replay. */
+static void take_order(struct order_wait *wait,
+		       const struct policy_ticket *ticket,
+		       struct policy_service *service, json_t *body,
+		       gint64 wait_ms)
+{
+	struct engine *engine = wait->engine;
+	const struct config_service *config = policy_service_config(service);
+	g_autofree char *text = cs_json_print(body);
+	struct policy_order_result refusal = {0};
+	struct policy_order *order = NULL;
+
+	switch (policy_orders_begin(engine->orders, ticket, config->name, text,
+				    engine_now(engine), &order, &refusal)) {
+	case POLICY_ORDER_RUN:
+		wait->order = order;
+		start_run(engine, service, order, ticket->nonce, body, wait_ms);
+		break;
+	case POLICY_ORDER_JOIN:
+		wait->order = order;
+		break;
+	case POLICY_ORDER_REPLAY:
+		cs_counters_add(engine->counters, CS_N_ORDER_REPLAYS, 1);
+		settle(wait, policy_order_result(order));
+		break;
+	case POLICY_ORDER_REFUSE:
+		settle(wait, &refusal);
+		break;
+	}
+}
+
+/* ---- callers ---- */
+
+void engine_begin_ticket(struct engine *engine,
+			 struct caller_exchange *exchange,
+			 const struct caller_request *request)
+{
+	g_autofree char *text = NULL;
+	int error;
+
+	if (engine->phase != ENGINE_SERVING) {
+		caller_exchange_refuse(exchange, CS_E_STOPPING, CS_NOT_RUN,
+				       NULL);
+		return;
+	}
+	error = policy_orders_issue(engine->orders, request->service,
+				    caller_exchange_id(exchange),
+				    engine_now(engine), &text);
+	if (error) {
+		caller_exchange_refuse(exchange, error, CS_NOT_RUN, NULL);
+		return;
+	}
+	cs_counters_add(engine->counters, CS_N_TICKETS, 1);
+	caller_exchange_reply(
+		exchange, json_pack("{s:s,s:s,s:I}", "outcome", "answered",
+				    "ticket", text, "expires_in_ms",
+				    (json_int_t)engine->settings->ticket_ms));
+}
+
+static void forward(struct order_wait *wait, const struct policy_ticket *ticket,
+		    const struct caller_request *request, gint64 wait_ms)
+{
+	struct engine *engine = wait->engine;
+	g_autofree char *text = cs_json_print(request->body);
+	struct peer_frame frame = {
+		.kind = PEER_ORDER,
+		.order =
+			{
+				.tag = ++engine->last_tag,
+				.service = request->service,
+				.ticket = request->ticket,
+				.body = text,
+				.wait_ms = wait_ms,
+			},
+	};
+
+	wait->peer = g_strdup(ticket->issuer);
+	wait->tag = frame.order.tag;
+	cs_counters_add(engine->counters, CS_N_FORWARDS, 1);
+	if (peer_links_send(engine->links, ticket->issuer, &frame) != 0) {
+		struct policy_order_result result = {
+			.code = CS_E_ISSUER,
+			.outcome = CS_UNKNOWN,
+		};
+
+		settle(wait, &result);
+	}
+}
+
+void engine_begin_order(struct engine *engine, struct caller_exchange *exchange,
+			const struct caller_request *request)
+{
+	struct policy_service *service =
+		policy_fleet_service(engine->fleet, request->service);
+	const struct config_service *config = policy_service_config(service);
+	gint64 wait_ms = engine_deadline_ms(config, request->deadline_ms);
+	struct policy_ticket ticket;
+	struct order_wait *wait;
+	bool own;
+
+	if (policy_ticket_parse(request->ticket, &ticket) != 0) {
+		caller_exchange_refuse(exchange, CS_E_TICKET, CS_NOT_RUN, NULL);
+		return;
+	}
+	own = !strcmp(ticket.issuer, engine->settings->instance);
+	wait = create_wait(engine, own ? WAIT_CALLER : WAIT_ISSUER, wait_ms);
+	wait->exchange = exchange;
+	caller_exchange_set_data(exchange, wait);
+	if (own)
+		take_order(wait, &ticket, service, request->body, wait_ms);
+	else
+		forward(wait, &ticket, request, wait_ms);
+	policy_ticket_clear(&ticket);
+}
+
+/* ---- peers ---- */
+
+static void refuse_peer(struct engine *engine, const struct peer_frame *frame,
+			int code)
+{
+	struct policy_order_result result = {
+		.code = code,
+		.outcome = CS_UNKNOWN,
+	};
+
+	reply_peer(engine, frame->sender, frame->order.tag, &result);
+}
+
+void engine_take_order(struct engine *engine, const struct peer_frame *frame)
+{
+	struct policy_service *service =
+		policy_fleet_service(engine->fleet, frame->order.service);
+	json_t *body = cs_json_parse(frame->order.body,
+				     strlen(frame->order.body), NULL);
+	struct policy_ticket ticket = {0};
+	gint64 wait_ms;
+
+	if (!service || !body ||
+	    policy_ticket_parse(frame->order.ticket, &ticket) != 0) {
+		refuse_peer(engine, frame, CS_E_FRAME);
+	} else {
+		struct order_wait *wait;
+
+		wait_ms = engine_deadline_ms(policy_service_config(service),
+					     frame->order.wait_ms);
+		wait = create_wait(engine, WAIT_PEER, wait_ms);
+		wait->peer = g_strdup(frame->sender);
+		wait->tag = frame->order.tag;
+		take_order(wait, &ticket, service, body, wait_ms);
+	}
+	policy_ticket_clear(&ticket);
+	json_decref(body);
+}
+
+static bool result_is_good(const struct peer_frame *frame)
+{
+	switch ((enum cs_outcome)frame->result.outcome) {
+	case CS_ANSWERED:
+		return frame->result.code == 0;
+	case CS_NOT_RUN:
+	case CS_UNKNOWN:
+		return frame->result.code < 0;
+	}
+	return false;
+}
+
+void engine_take_result(struct engine *engine, const struct peer_frame *frame)
+{
+	struct policy_order_result result = {
+		.code = frame->result.code,
+		.outcome = (enum cs_outcome)frame->result.outcome,
+		.body = (char *)frame->result.body,
+	};
+	struct order_wait *wait;
+
+	if (!result_is_good(frame)) {
+		cs_counters_add(engine->counters, CS_N_PEER_BAD, 1);
+		return;
+	}
+	TAILQ_FOREACH (wait, &engine->order_waits, link) {
+		if (wait->kind == WAIT_ISSUER &&
+		    wait->tag == frame->result.tag &&
+		    !strcmp(wait->peer, frame->sender))
+			break;
+	}
+	if (wait)
+		settle(wait, &result);
+}
+
+/* ---- the end ---- */
+
+bool engine_has_orders(const struct engine *engine)
+{
+	return !TAILQ_EMPTY(&engine->order_jobs) ||
+	       !TAILQ_EMPTY(&engine->order_waits);
+}
+
+void engine_free_orders(struct engine *engine)
+{
+	while (!TAILQ_EMPTY(&engine->order_waits))
+		free_wait(TAILQ_FIRST(&engine->order_waits));
+	while (!TAILQ_EMPTY(&engine->order_jobs))
+		free_order_job(TAILQ_FIRST(&engine->order_jobs));
+}
--- /dev/null
+++ b/src/libengine/queries.c
@@ -0,0 +1,305 @@
+/* Queries: the policy's actions carried out at the upstreams. */
+#include "internal.h"
+
+struct part_call {
+	LIST_ENTRY(part_call) link;
+	struct query_job *job;
+	gint64 attempt;
+	struct upstream_call *call;
+};
+
+struct query_job {
+	struct engine_job base;
+	TAILQ_ENTRY(query_job) link;
+	struct cs_timer timer;
+	struct engine *engine;
+	struct caller_exchange *exchange;
+	struct policy_service *service;
+	struct policy_query *query;
+	LIST_HEAD(, part_call) calls;
+	json_t *body;
+	gint64 limit;
+};
+
+#define job_of(ptr)                                                            \
+	((struct query_job *)((char *)(ptr)-offsetof(struct query_job, timer)))
+
+static void drive(struct query_job *job);
+
+static void free_call(struct part_call *call)
+{
+	LIST_REMOVE(call, link);
+	g_free(call);
+}
+
+static void free_job(struct query_job *job)
+{
+	struct engine *engine = job->engine;
+
+	cs_timer_disarm(engine->clock, &job->timer);
+	while (!LIST_EMPTY(&job->calls)) {
+		struct part_call *call = LIST_FIRST(&job->calls);
+
+		upstream_call_destroy(call->call);
+		free_call(call);
+	}
+	TAILQ_REMOVE(&engine->queries, job, link);
+	policy_query_destroy(job->query, engine_now(engine));
+	json_decref(job->body);
+	g_free(job);
+}
+
+/* ---- upstream answers ---- */
+
+static void hear(struct query_job *job, struct part_call *call,
+		 const struct upstream_reply *reply)
+{
+	struct policy_upstream *upstream =
+		policy_query_upstream(job->query, call->attempt);
+	struct policy_word word = {
+		.incarnation = reply->incarnation,
+		.draining = reply->draining,
+		.cold = reply->cold,
+	};
+
+	if (upstream)
+		policy_upstream_heard(job->engine->fleet, upstream, &word);
+}
+
+static void on_reply(struct upstream_call *upstream_call,
+		     struct upstream_reply *reply, void *user)
+{
+	struct part_call *call = user;
+	struct query_job *job = call->job;
+	struct engine *engine = job->engine;
+	struct policy_service *service = job->service;
+	gint64 now = engine_now(engine);
+	gint64 attempt = call->attempt;
+
+	hear(job, call, reply);
+	free_call(call);
+	if (reply->part)
+		policy_query_answered(job->query, attempt,
+				      g_steal_pointer(&reply->part), now);
+	else
+		policy_query_failed(job->query, attempt, reply->result, now);
+	drive(job);
+	engine_poke_waiters(engine, service);
+}
+
+static gint64 connection_share(const struct engine *engine,
+			       const struct config_service *config)
+{
+	const struct config *all = policy_fleet_config(engine->fleet);
+
+	return MAX(config->connections / all->daemons_max, 1);
+}
+
+/* ---- the policy's actions ---- */
+
+static void send_part(struct query_job *job, const struct policy_action *action)
+{
+	const struct config_service *config =
+		policy_service_config(job->service);
+	struct part_call *call = g_new0(struct part_call, 1);
+	struct upstream_request request = {
+		.service = config->name,
+		.address = action->upstream->address,
+		.request_id = caller_exchange_id(job->exchange),
+		.attempt = action->attempt,
+		.deadline_us = action->deadline_us,
+		.connections = connection_share(job->engine, config),
+		.shard = action->shard,
+		.snapshot = action->snapshot,
+		.map = action->map,
+		.limit = job->limit,
+		.body = job->body,
+	};
+
+	call->job = job;
+	call->attempt = action->attempt;
+	LIST_INSERT_HEAD(&job->calls, call, link);
+	call->call = upstream_call_create(job->engine->upstreams, &request,
+					  on_reply, call);
+}
+
+static void cancel_part(struct query_job *job, gint64 attempt)
+{
+	struct part_call *call;
+
+	LIST_FOREACH (call, &job->calls, link) {
+		if (call->attempt == attempt)
+			break;
+	}
+	if (!call)
+		return;
+	upstream_call_destroy(call->call);
+	free_call(call);
+}
+
+static json_t *print_hits(const GPtrArray *hits)
+{
+	json_t *array = json_array();
+
+	for (guint i = 0; i < hits->len; i++) {
+		const struct policy_hit *hit = hits->pdata[i];
+		json_t *value = json_pack("{s:s,s:f}", "id", hit->id, "score",
+					  hit->score);
+
+		if (hit->fields)
+			json_object_set(value, "fields", hit->fields);
+		json_array_append_new(array, value);
+	}
+	return array;
+}
+
+static json_t *print_answer(const struct policy_answer *answer)
+{
+	bool complete = answer->documents_answered == answer->documents &&
+			answer->shards_answered == answer->shards;
+
+	return json_pack(
+		"{s:s,s:s,s:I,s:{s:b,s:I,s:I,s:i,s:i},s:o}", "outcome",
+		cs_outcome_name(answer->outcome), "snapshot",
+		answer->pin->snapshot, "map", (json_int_t)answer->pin->map,
+		"coverage", "complete", complete, "documents",
+		(json_int_t)answer->documents, "documents_answered",
+		(json_int_t)answer->documents_answered, "shards",
+		(int)answer->shards, "shards_answered",
+		(int)answer->shards_answered, "hits", print_hits(answer->hits));
+}
+
+static void reply(struct query_job *job)
+{
+	const struct policy_answer *answer = policy_query_result(job->query);
+	struct engine *engine = job->engine;
+
+	history_add(engine->history, caller_exchange_id(job->exchange),
+		    policy_query_trace(job->query, engine_now(engine)));
+	caller_exchange_set_data(job->exchange, NULL);
+	if (answer->code)
+		caller_exchange_refuse(job->exchange, answer->code,
+				       answer->outcome, NULL);
+	else
+		caller_exchange_reply(job->exchange, print_answer(answer));
+}
+
+/* Carry out all actions; the job may be gone afterwards. */
+static void drive(struct query_job *job)
+{
+	struct policy_action action;
+
+	while (policy_query_next(job->query, &action)) {
+		switch (action.kind) {
+		case POLICY_SEND:
+			send_part(job, &action);
+			break;
+		case POLICY_CANCEL:
+			cancel_part(job, action.attempt);
+			break;
+		case POLICY_FINISH:
+			reply(job);
+			free_job(job);
+			return;
+		}
+	}
+	cs_timer_arm(job->engine->clock, &job->timer,
+		     policy_query_wake(job->query));
+}
+
+static void tick(struct query_job *job)
+{
+	policy_query_tick(job->query, engine_now(job->engine));
+	drive(job);
+}
+
+static void on_timer(struct cs_timer *timer)
+{
+	struct query_job *job = job_of(timer);
+	struct engine *engine = job->engine;
+	struct policy_service *service = job->service;
+
+	tick(job);
+	engine_poke_waiters(engine, service);
+}
+
+void engine_poke_waiters(struct engine *engine, struct policy_service *service)
+{
+	struct query_job *job = policy_service_first_waiter(service);
+
+	if (engine->poking)
+		return;
+	engine->poking = true;
+	while (job) {
+		struct query_job *next;
+
+		tick(job);
+		next = policy_service_first_waiter(service);
+		if (next == job)
+			break;
+		job = next;
+	}
+	engine->poking = false;
+}
+
+/* ---- the interface ---- */
+
+static double least_coverage(const struct config_service *config,
+			     const struct caller_request *request)
+{
+	if (request->least_coverage >= 0)
+		return request->least_coverage;
+	return config->least_coverage;
+}
+
+void engine_begin_query(struct engine *engine, struct caller_exchange *exchange,
+			const struct caller_request *request)
+{
+	struct policy_service *service =
+		policy_fleet_service(engine->fleet, request->service);
+	const struct config_service *config = policy_service_config(service);
+	gint64 now = engine_now(engine);
+	struct policy_ask ask = {
+		.request_id = caller_exchange_id(exchange),
+		.limit = request->limit,
+		.deadline_us =
+			now + engine_deadline_ms(config, request->deadline_ms) *
+				      CS_US_PER_MS,
+		.least_coverage = least_coverage(config, request),
+	};
+	struct policy_query *query;
+	struct query_job *job;
+	int error;
+
+	cs_counters_add(engine->counters, CS_N_QUERIES, 1);
+	query = policy_query_create(engine->fleet, service, engine->counters,
+				    &ask, now, &error);
+	if (!query) {
+		caller_exchange_refuse(exchange, error, CS_NOT_RUN, NULL);
+		return;
+	}
+	job = g_new0(struct query_job, 1);
+	job->base.kind = JOB_QUERY;
+	job->timer.fire = on_timer;
+	job->engine = engine;
+	job->exchange = exchange;
+	job->service = service;
+	job->query = query;
+	job->body = json_incref(request->body);
+	job->limit = request->limit;
+	LIST_INIT(&job->calls);
+	TAILQ_INSERT_TAIL(&engine->queries, job, link);
+	policy_query_set_user(query, job);
+	caller_exchange_set_data(exchange, job);
+	drive(job);
+}
+
+/* The caller went away: cancel its parts. */
+void engine_drop_query(struct query_job *job)
+{
+	struct engine *engine = job->engine;
+	struct policy_service *service = job->service;
+
+	free_job(job);
+	engine_poke_waiters(engine, service);
+}
--- /dev/null
+++ b/src/libengine/spread.c
@@ -0,0 +1,337 @@
+/* Configurations, lists and beats: taken from anyone, passed on to peers. */
+#include "internal.h"
+
+#include <string.h>
+
+/*
+ * A watch of the list waits for this part of the lag bound. A picture is then
+ * at most half the bound old, and a quarter is left for a late answer.
+ */
+#define LIST_WAIT_SHARE 4
+
+/* A document is sent to one peer at most this often. */
+#define PUSH_EVERY_US (1 * CS_US_PER_S)
+
+/* A peer's frame may have been under way this long. */
+#define TRANSIT_US (100 * CS_US_PER_MS)
+
+static void tell_platform(struct engine *engine)
+{
+	const struct list *list = policy_fleet_list(engine->fleet);
+
+	platform_set_revisions(engine->platform, engine->config_revision.number,
+			       list ? list->revision : 0);
+}
+
+/* ---- configurations ---- */
+
+static void log_config(int priority, const char *event, gint64 revision,
+		       const char *digest, const char *why)
+{
+	g_autofree char *number =
+		g_strdup_printf("%" G_GINT64_FORMAT, revision);
+
+	cs_log(priority, event, "revision", number, "digest", digest, "why",
+	       why, NULL);
+}
+
+static bool refuse_config(struct engine *engine, enum cs_counter counter,
+			  const char *event, gint64 revision,
+			  const char *digest, const char *why)
+{
+	cs_counters_add(engine->counters, counter, 1);
+	log_config(LOG_ERR, event, revision, digest, why);
+	return false;
+}
+
+static bool take_config(struct engine *engine, gint64 revision,
+			const char *digest, json_t *document)
+{
+	g_autofree char *why = NULL;
+	int error;
+	struct config *config = config_create(document, &error, &why);
+
+	if (!config)
+		return refuse_config(engine, CS_N_CONFIG_INVALID,
+				     "config-invalid", revision, digest, why);
+	policy_fleet_set_config(engine->fleet, config);
+	platform_set_list_wait(engine->platform,
+			       MAX(config->list_lag_ms / LIST_WAIT_SHARE, 1));
+	policy_revision_take(&engine->config_revision, revision, digest);
+	g_free(engine->config_text);
+	engine->config_text = cs_json_print(document);
+	cs_counters_add(engine->counters, CS_N_CONFIG_ACCEPTED, 1);
+	log_config(LOG_INFO, "config-accepted", revision, digest, NULL);
+	return true;
+}
+
+static bool offer_config(struct engine *engine, gint64 revision,
+			 json_t *document)
+{
+	g_autofree char *digest = config_digest(document);
+
+	switch (policy_revision_check(&engine->config_revision, revision,
+				      digest)) {
+	case 0:
+		return take_config(engine, revision, digest, document);
+	case CS_E_STALE:
+		cs_counters_add(engine->counters, CS_N_CONFIG_STALE, 1);
+		return false;
+	case CS_E_CONFLICT:
+		return refuse_config(engine, CS_N_CONFIG_CONFLICT,
+				     "config-conflict", revision, digest,
+				     "held with another digest");
+	default:
+		return true;
+	}
+}
+
+bool engine_offer_files(gint64 revision, GPtrArray *files, void *user)
+{
+	struct engine *engine = user;
+	g_autofree char *why = NULL;
+	json_t *document;
+	bool taken;
+	int error;
+
+	if (revision <= 0)
+		return refuse_config(engine, CS_N_CONFIG_INVALID,
+				     "config-invalid", revision, NULL,
+				     "the revision is not above 0");
+	document = config_merge(files, &error, &why);
+	if (!document)
+		return refuse_config(engine, CS_N_CONFIG_INVALID,
+				     "config-invalid", revision, NULL, why);
+	taken = offer_config(engine, revision, document);
+	json_decref(document);
+	tell_platform(engine);
+	return taken;
+}
+
+/* ---- lists ---- */
+
+static enum cs_counter list_counter(int error)
+{
+	switch (error) {
+	case 0:
+		return CS_N_LIST_ACCEPTED;
+	case CS_E_STALE:
+		return CS_N_LIST_STALE;
+	case CS_E_RANGE:
+		return CS_N_LIST_HELD;
+	default:
+		return CS_N_LIST_INVALID;
+	}
+}
+
+static bool is_held(const struct engine *engine, const struct list *list)
+{
+	const struct list *held = policy_fleet_list(engine->fleet);
+
+	return held && held->revision == list->revision;
+}
+
+static void note_list(struct engine *engine, gint64 revision, int error,
+		      const char *why)
+{
+	g_autofree char *number =
+		g_strdup_printf("%" G_GINT64_FORMAT, revision);
+
+	cs_counters_add(engine->counters, list_counter(error), 1);
+	if (error)
+		cs_log(LOG_WARNING, "list-refused", "revision", number,
+		       "reason", cs_error_name(error), "why", why, NULL);
+	else
+		cs_log(LOG_INFO, "list-accepted", "revision", number, NULL);
+}
+
+bool engine_offer_list(json_t *document, gint64 asked_us, void *user)
+{
+	struct engine *engine = user;
+	g_autofree char *why = NULL;
+	struct list *list;
+	gint64 revision;
+	int error;
+
+	list = list_create(document, &error, &why);
+	if (!list) {
+		note_list(engine, 0, CS_E_JSON, why);
+		return false;
+	}
+	if (is_held(engine, list)) {
+		engine_list_same(asked_us, engine);
+		list_destroy(list);
+		return true;
+	}
+	revision = list->revision;
+	error = policy_fleet_set_list(engine->fleet, list, asked_us,
+				      engine_now(engine));
+	note_list(engine, revision, error, NULL);
+	if (error)
+		return false;
+	engine->list_asked_us = asked_us;
+	g_free(engine->list_text);
+	engine->list_text = cs_json_print(document);
+	peer_links_set_daemons(engine->links,
+			       policy_fleet_list(engine->fleet)->daemons);
+	tell_platform(engine);
+	return true;
+}
+
+void engine_list_same(gint64 asked_us, void *user)
+{
+	struct engine *engine = user;
+
+	engine->list_asked_us = MAX(engine->list_asked_us, asked_us);
+	policy_fleet_confirm_list(engine->fleet, asked_us);
+}
+
+/* ---- peers ---- */
+
+struct warm_scan {
+	GArray *warm; /* struct peer_warm */
+	gint64 now_us;
+};
+
+static void add_warm(struct policy_upstream *upstream, void *user)
+{
+	struct warm_scan *scan = user;
+	struct peer_warm warm = {
+		.id = upstream->id,
+		.incarnation = upstream->incarnation,
+	};
+
+	if (policy_upstream_warm_lately(upstream, scan->now_us))
+		g_array_append_val(scan->warm, warm);
+}
+
+void engine_send_beat(struct engine *engine)
+{
+	const struct list *list = policy_fleet_list(engine->fleet);
+	struct warm_scan scan = {
+		.warm = g_array_new(FALSE, FALSE, sizeof(struct peer_warm)),
+		.now_us = engine_now(engine),
+	};
+	struct peer_frame frame = {
+		.kind = PEER_BEAT,
+		.beat =
+			{
+				.leaving = engine->phase != ENGINE_SERVING,
+				.config_revision =
+					engine->config_revision.number,
+				.list_revision = list ? list->revision : 0,
+			},
+	};
+
+	policy_fleet_each(engine->fleet, add_warm, &scan);
+	frame.beat.warm = (const struct peer_warm *)scan.warm->data;
+	frame.beat.n_warm = scan.warm->len;
+	peer_links_send_all(engine->links, &frame);
+	g_array_unref(scan.warm);
+}
+
+static bool may_push(struct engine *engine, const char *peer)
+{
+	gint64 now = engine_now(engine);
+	const gint64 *last = g_hash_table_lookup(engine->pushed, peer);
+
+	if (last && now - *last < PUSH_EVERY_US)
+		return false;
+	g_hash_table_replace(engine->pushed, g_strdup(peer),
+			     g_memdup2(&now, sizeof(now)));
+	return true;
+}
+
+static void push_config(struct engine *engine, const char *peer)
+{
+	struct peer_frame frame = {
+		.kind = PEER_CONFIG,
+		.config =
+			{
+				.revision = engine->config_revision.number,
+				.text = engine->config_text,
+			},
+	};
+
+	peer_links_send(engine->links, peer, &frame);
+}
+
+static void push_list(struct engine *engine, const char *peer)
+{
+	struct peer_frame frame = {
+		.kind = PEER_LIST,
+		.list =
+			{
+				.age_us = engine_now(engine) -
+					  engine->list_asked_us,
+				.text = engine->list_text,
+			},
+	};
+
+	peer_links_send(engine->links, peer, &frame);
+}
+
+/* Send a peer what it lacks. In standalone mode nothing is passed on. */
+static void push_newer(struct engine *engine, const struct peer_frame *frame)
+{
+	const struct list *list = policy_fleet_list(engine->fleet);
+	bool config_newer =
+		engine->config_revision.number > frame->beat.config_revision;
+	bool list_newer = list && list->revision > frame->beat.list_revision;
+
+	if (engine->settings->directory || (!config_newer && !list_newer) ||
+	    !may_push(engine, frame->sender))
+		return;
+	if (config_newer)
+		push_config(engine, frame->sender);
+	if (list_newer)
+		push_list(engine, frame->sender);
+}
+
+void engine_take_beat(struct engine *engine, const struct peer_frame *frame)
+{
+	struct policy_beat beat = {
+		.id = frame->sender,
+		.incarnation = frame->incarnation,
+		.sequence = frame->sequence,
+		.leaving = frame->beat.leaving,
+		.config_revision = frame->beat.config_revision,
+		.list_revision = frame->beat.list_revision,
+	};
+	gint64 now = engine_now(engine);
+
+	if (!policy_members_heard(engine->members, &beat, now)) {
+		cs_counters_add(engine->counters, CS_N_PEER_REPLAY, 1);
+		return;
+	}
+	for (gsize i = 0; i < frame->beat.n_warm; i++)
+		policy_fleet_peer_warm(engine->fleet, frame->beat.warm[i].id,
+				       frame->beat.warm[i].incarnation, now);
+	push_newer(engine, frame);
+}
+
+void engine_take_config(struct engine *engine, const struct peer_frame *frame)
+{
+	json_t *document = cs_json_parse(frame->config.text,
+					 strlen(frame->config.text), NULL);
+
+	if (!document || engine->settings->directory)
+		cs_counters_add(engine->counters, CS_N_PEER_BAD, 1);
+	else
+		offer_config(engine, frame->config.revision, document);
+	json_decref(document);
+	tell_platform(engine);
+}
+
+void engine_take_list(struct engine *engine, const struct peer_frame *frame)
+{
+	json_t *document =
+		cs_json_parse(frame->list.text, strlen(frame->list.text), NULL);
+	gint64 asked_us = engine_now(engine) - frame->list.age_us - TRANSIT_US;
+
+	if (!document || engine->settings->directory || frame->list.age_us < 0)
+		cs_counters_add(engine->counters, CS_N_PEER_BAD, 1);
+	else
+		engine_offer_list(document, asked_us, engine);
+	json_decref(document);
+}
--- /dev/null
+++ b/src/libpeer/frame.c
@@ -0,0 +1,177 @@
+/* Frames between the daemons, as GVariants. */
+#include "cuminsail/peer.h"
+
+#include "cuminsail/error.h"
+
+#include <string.h>
+
+#define FRAME_VERSION 1
+
+/* version, kind, sender, incarnation, sequence, payload */
+#define FRAME_TYPE "(yysttv)"
+
+#define BEAT_TYPE   "(bxxa(ss))"
+#define CONFIG_TYPE "(xs)"
+#define LIST_TYPE   "(xs)"
+#define ORDER_TYPE  "(tsssx)"
+#define RESULT_TYPE "(tiis)"
+
+/* Largest frame: a document, escaped, and its head. */
+#define FRAME_MAX (2 * CONFIG_DOCUMENT_MAX)
+
+/* Most upstreams that one beat tells of. */
+#define WARM_MAX 20000
+
+static GVariant *encode_beat(const struct peer_frame *frame)
+{
+	GVariantBuilder warm;
+
+	g_variant_builder_init(&warm, G_VARIANT_TYPE("a(ss)"));
+	for (gsize i = 0; i < frame->beat.n_warm; i++)
+		g_variant_builder_add(&warm, "(ss)", frame->beat.warm[i].id,
+				      frame->beat.warm[i].incarnation);
+	return g_variant_new(BEAT_TYPE, frame->beat.leaving,
+			     frame->beat.config_revision,
+			     frame->beat.list_revision, &warm);
+}
+
+static GVariant *encode_payload(const struct peer_frame *frame)
+{
+	switch (frame->kind) {
+	case PEER_BEAT:
+		return encode_beat(frame);
+	case PEER_CONFIG:
+		return g_variant_new(CONFIG_TYPE, frame->config.revision,
+				     frame->config.text);
+	case PEER_LIST:
+		return g_variant_new(LIST_TYPE, frame->list.age_us,
+				     frame->list.text);
+	case PEER_ORDER:
+		return g_variant_new(ORDER_TYPE, frame->order.tag,
+				     frame->order.service, frame->order.ticket,
+				     frame->order.body, frame->order.wait_ms);
+	case PEER_RESULT:
+		return g_variant_new(RESULT_TYPE, frame->result.tag,
+				     frame->result.code, frame->result.outcome,
+				     frame->result.body);
+	}
+	return NULL;
+}
+
+GBytes *peer_frame_encode(const struct peer_frame *frame)
+{
+	g_autoptr(GVariant) value = g_variant_ref_sink(g_variant_new(
+		FRAME_TYPE, (guchar)FRAME_VERSION, (guchar)frame->kind,
+		frame->sender, frame->incarnation, frame->sequence,
+		encode_payload(frame)));
+
+	return g_variant_get_data_as_bytes(value);
+}
+
+static struct peer_warm *decode_warm(GVariant *array, gsize *n_warm)
+{
+	struct peer_warm *warm;
+
+	*n_warm = MIN(g_variant_n_children(array), WARM_MAX);
+	warm = g_new0(struct peer_warm, *n_warm + 1);
+	for (gsize i = 0; i < *n_warm; i++)
+		g_variant_get_child(array, i, "(&s&s)", &warm[i].id,
+				    &warm[i].incarnation);
+	return warm;
+}
+
+static const char *payload_type(guchar kind)
+{
+	switch (kind) {
+	case PEER_BEAT:
+		return BEAT_TYPE;
+	case PEER_CONFIG:
+		return CONFIG_TYPE;
+	case PEER_LIST:
+		return LIST_TYPE;
+	case PEER_ORDER:
+		return ORDER_TYPE;
+	case PEER_RESULT:
+		return RESULT_TYPE;
+	default:
+		return NULL;
+	}
+}
+
+static void decode_payload(GVariant *payload, struct peer_frame *frame)
+{
+	switch (frame->kind) {
+	case PEER_BEAT:
+		break;
+	case PEER_CONFIG:
+		g_variant_get(payload, "(x&s)", &frame->config.revision,
+			      &frame->config.text);
+		break;
+	case PEER_LIST:
+		g_variant_get(payload, "(x&s)", &frame->list.age_us,
+			      &frame->list.text);
+		break;
+	case PEER_ORDER:
+		g_variant_get(payload, "(t&s&s&sx)", &frame->order.tag,
+			      &frame->order.service, &frame->order.ticket,
+			      &frame->order.body, &frame->order.wait_ms);
+		break;
+	case PEER_RESULT:
+		g_variant_get(payload, "(tii&s)", &frame->result.tag,
+			      &frame->result.code, &frame->result.outcome,
+			      &frame->result.body);
+		break;
+	}
+}
+
+static void visit_beat(GVariant *payload, struct peer_frame *frame,
+		       void (*visit)(const struct peer_frame *frame,
+				     void *user),
+		       void *user)
+{
+	g_autoptr(GVariant) array = NULL;
+	g_autofree struct peer_warm *warm = NULL;
+	gboolean leaving;
+
+	g_variant_get(payload, "(bxx@a(ss))", &leaving,
+		      &frame->beat.config_revision, &frame->beat.list_revision,
+		      &array);
+	warm = decode_warm(array, &frame->beat.n_warm);
+	frame->beat.leaving = leaving;
+	frame->beat.warm = warm;
+	visit(frame, user);
+}
+
+int peer_frame_decode(GBytes *bytes,
+		      void (*visit)(const struct peer_frame *frame, void *user),
+		      void *user)
+{
+	g_autoptr(GVariant) value = NULL;
+	g_autoptr(GVariant) payload = NULL;
+	struct peer_frame frame = {0};
+	const char *type;
+	guchar version;
+	guchar kind;
+
+	if (g_bytes_get_size(bytes) > FRAME_MAX)
+		return CS_E_FRAME;
+	value = g_variant_ref_sink(g_variant_new_from_bytes(
+		G_VARIANT_TYPE(FRAME_TYPE), bytes, FALSE));
+	if (!g_variant_is_normal_form(value))
+		return CS_E_FRAME;
+	g_variant_get(value, "(yy&sttv)", &version, &kind, &frame.sender,
+		      &frame.incarnation, &frame.sequence, &payload);
+	type = payload_type(kind);
+	if (version != FRAME_VERSION || !type || !*frame.sender ||
+	    strlen(frame.sender) > CS_NAME_MAX ||
+	    !g_variant_is_of_type(payload, G_VARIANT_TYPE(type)))
+		return CS_E_FRAME;
+	frame.kind = (enum peer_kind)kind;
+	if (frame.kind == PEER_BEAT) {
+		visit_beat(payload, &frame, visit, user);
+		return 0;
+	}
+	decode_payload(payload, &frame);
+	visit(&frame, user);
+	return 0;
+}
--- /dev/null
+++ b/src/libpolicy/choose.c
@@ -0,0 +1,191 @@
+/* The choice of a pin for a query and of an upstream for an attempt. */
+#include "fleet.h"
+
+#include <string.h>
+
+/* One choice in this many goes to an upstream that this daemon warms. */
+#define WARMING_SHARE 4
+
+static bool is_out(const struct policy_fleet *fleet,
+		   const struct policy_upstream *upstream)
+{
+	const struct config_zone *zone =
+		config_find_zone(fleet->config, upstream->zone);
+
+	return zone && zone->out;
+}
+
+/* Whether any new work may go there at all. */
+static bool may_ask(const struct policy_fleet *fleet,
+		    const struct policy_upstream *upstream, gint64 now_us)
+{
+	if (upstream->leaving || upstream->gone || is_out(fleet, upstream))
+		return false;
+	if (upstream->phase == POLICY_WARM)
+		return true;
+	return policy_views_owns(fleet->views, upstream->id, upstream->zone,
+				 now_us);
+}
+
+static bool has_room(const struct policy_upstream *upstream, gint64 now_us)
+{
+	/* After a run of failures one attempt at a time tries it again. */
+	if (now_us < upstream->suspended_us)
+		return false;
+	if (upstream->suspended_us && upstream->inflight)
+		return false;
+	return upstream->inflight + 1 <= (guint)upstream->limit;
+}
+
+static bool was_tried(const GPtrArray *tried,
+		      const struct policy_upstream *upstream)
+{
+	return tried && g_ptr_array_find((GPtrArray *)tried, upstream, NULL);
+}
+
+/* What choose() gathers for one zone tier. */
+struct candidates {
+	struct policy_upstream *warm[2]; /* drawn at random */
+	guint n_warm;
+	struct policy_upstream *warming;
+	bool holder;
+};
+
+/* Keep two of all offered, each pair as likely as any other. */
+static void draw(struct policy_fleet *fleet, struct candidates *set,
+		 struct policy_upstream *upstream)
+{
+	guint index = set->n_warm++;
+
+	if (index >= 2)
+		index = (guint)g_rand_int_range(fleet->random, 0,
+						(gint32)set->n_warm);
+	if (index < 2)
+		set->warm[index] = upstream;
+}
+
+static void offer(struct policy_fleet *fleet, struct candidates *set,
+		  struct policy_upstream *upstream, gint64 now_us)
+{
+	set->holder = true;
+	if (!has_room(upstream, now_us))
+		return;
+	if (upstream->phase == POLICY_WARM)
+		draw(fleet, set, upstream);
+	else
+		set->warming = upstream;
+}
+
+static double cost(const struct policy_upstream *upstream)
+{
+	return (upstream->inflight + 1) * (upstream->latency_us + 1);
+}
+
+static struct policy_upstream *better(struct policy_upstream *a,
+				      struct policy_upstream *b)
+{
+	return cost(b) < cost(a) ? b : a;
+}
+
+static struct policy_upstream *pick(struct policy_fleet *fleet,
+				    const struct candidates *set)
+{
+	bool warm_up;
+
+	if (!set->n_warm)
+		return set->warming;
+	if (set->warming) {
+		warm_up =
+			g_rand_int_range(fleet->random, 0, WARMING_SHARE) == 0;
+		if (warm_up)
+			return set->warming;
+	}
+	if (set->n_warm == 1)
+		return set->warm[0];
+	return better(set->warm[0], set->warm[1]);
+}
+
+struct policy_upstream *policy_fleet_choose(
+	struct policy_fleet *fleet, struct policy_service *service,
+	const char *shard, const char *snapshot, const GPtrArray *tried,
+	gint64 now_us, enum policy_lack *lack)
+{
+	struct candidates own = {0};
+	struct candidates other = {0};
+	struct policy_upstream *upstream;
+	struct policy_upstream *found;
+
+	TAILQ_FOREACH (upstream, &service->upstreams, link) {
+		bool near = !strcmp(upstream->zone, fleet->zone);
+
+		if (shard && strcmp(upstream->shard, shard) != 0)
+			continue;
+		if (was_tried(tried, upstream) ||
+		    !upstream_holds(upstream, snapshot, now_us) ||
+		    !may_ask(fleet, upstream, now_us))
+			continue;
+		offer(fleet, near ? &own : &other, upstream, now_us);
+	}
+	found = pick(fleet, &own);
+	if (!found && (service->config->spill || !own.holder))
+		found = pick(fleet, &other);
+	*lack = POLICY_LACK_NONE;
+	if (!found)
+		*lack = own.holder || other.holder ? POLICY_LACK_ROOM
+						   : POLICY_LACK_HOLDER;
+	return found;
+}
+
+static bool shard_can_be_asked(struct policy_fleet *fleet,
+			       struct policy_service *service,
+			       const char *shard, const char *snapshot,
+			       gint64 now_us)
+{
+	struct policy_upstream *upstream;
+
+	TAILQ_FOREACH (upstream, &service->upstreams, link) {
+		if (!strcmp(upstream->shard, shard) &&
+		    upstream_holds(upstream, snapshot, now_us) &&
+		    may_ask(fleet, upstream, now_us))
+			return true;
+	}
+	return false;
+}
+
+static guint count_shards(struct policy_fleet *fleet,
+			  struct policy_service *service,
+			  const struct policy_pin *pin, gint64 now_us)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < pin->shards->len; i++) {
+		const struct list_shard *shard = pin->shards->pdata[i];
+
+		if (shard_can_be_asked(fleet, service, shard->id, pin->snapshot,
+				       now_us))
+			count++;
+	}
+	return count;
+}
+
+struct policy_pin *policy_fleet_pin(struct policy_fleet *fleet,
+				    struct policy_service *service,
+				    gint64 now_us)
+{
+	struct policy_pin *best = NULL;
+	double best_share = 0;
+
+	for (guint i = service->pins->len; i > 0; i--) {
+		struct policy_pin *pin = service->pins->pdata[i - 1];
+		guint count = count_shards(fleet, service, pin, now_us);
+		double share = (double)count / pin->shards->len;
+
+		if (share > best_share) {
+			best = pin;
+			best_share = share;
+		}
+	}
+	if (best)
+		g_ref_count_inc(&best->refs);
+	return best;
+}
--- /dev/null
+++ b/src/libpolicy/fleet.c
@@ -0,0 +1,392 @@
+/* Taking up configurations, lists and what upstreams say of themselves. */
+#include "fleet.h"
+
+#include "cuminsail/clock.h"
+#include "cuminsail/error.h"
+
+#include <string.h>
+
+/* How long this daemon's own finding "cold" outranks a peer's "warm". */
+#define OWN_WORD_US CS_US_PER_S
+
+struct policy_fleet *policy_fleet_create(const char *self, const char *zone,
+					 struct cs_counters *counters,
+					 guint32 seed)
+{
+	struct policy_fleet *fleet = g_new0(struct policy_fleet, 1);
+
+	fleet->zone = g_strdup(zone);
+	fleet->counters = counters;
+	fleet->daemons_max = 1;
+	fleet->services = g_hash_table_new_full(
+		g_str_hash, g_str_equal, NULL, (GDestroyNotify)service_destroy);
+	fleet->upstreams = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->views = policy_views_create(self);
+	fleet->random = g_rand_new_with_seed(seed);
+	return fleet;
+}
+
+void policy_fleet_destroy(struct policy_fleet *fleet)
+{
+	if (!fleet)
+		return;
+	g_hash_table_unref(fleet->upstreams);
+	g_hash_table_unref(fleet->services);
+	policy_views_destroy(fleet->views);
+	g_rand_free(fleet->random);
+	config_destroy(fleet->config);
+	list_destroy(fleet->list);
+	g_free(fleet->zone);
+	g_free(fleet);
+}
+
+static struct policy_service *need_service(struct policy_fleet *fleet,
+					   const char *name)
+{
+	struct policy_service *service =
+		g_hash_table_lookup(fleet->services, name);
+
+	if (service)
+		return service;
+	service = service_create(name);
+	g_hash_table_insert(fleet->services, service->name, service);
+	return service;
+}
+
+/* The longest time that any service lets a request stay in flight. */
+static gint64 longest_part_us(const struct config *config)
+{
+	gint64 longest = 0;
+
+	for (guint i = 0; i < config->services->len; i++) {
+		const struct config_service *service =
+			config->services->pdata[i];
+
+		longest = MAX(longest, service->part_timeout_ms);
+	}
+	return longest * CS_US_PER_MS;
+}
+
+static void attach_configs(struct policy_fleet *fleet)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct policy_service *service = value;
+
+		service->config =
+			config_find_service(fleet->config, service->name);
+	}
+}
+
+/* New caps hold at once; a limit that had shrunk stays shrunk. */
+static void clamp_limit(struct policy_upstream *upstream, void *user)
+{
+	struct policy_fleet *fleet = user;
+	double before = upstream->limit;
+	guint good_run = upstream->good_run;
+
+	if (upstream->phase == POLICY_WARMING)
+		return;
+	upstream_set_phase(upstream, upstream->phase, fleet->daemons_max);
+	upstream->limit = MIN(before, upstream->limit);
+	upstream->good_run = good_run;
+}
+
+void policy_fleet_set_config(struct policy_fleet *fleet, struct config *config)
+{
+	struct config *old = fleet->config;
+
+	fleet->config = config;
+	fleet->daemons_max = (guint)config->daemons_max;
+	for (guint i = 0; i < config->services->len; i++) {
+		const struct config_service *service =
+			config->services->pdata[i];
+
+		need_service(fleet, service->name);
+	}
+	attach_configs(fleet);
+	policy_views_set_bounds(fleet->views,
+				config->list_lag_ms * CS_US_PER_MS,
+				longest_part_us(config));
+	policy_fleet_each(fleet, clamp_limit, fleet);
+	config_destroy(old);
+}
+
+const struct config *policy_fleet_config(const struct policy_fleet *fleet)
+{
+	return fleet->config;
+}
+
+const struct list *policy_fleet_list(const struct policy_fleet *fleet)
+{
+	return fleet->list;
+}
+
+static bool zone_out(const struct policy_fleet *fleet, const char *zone)
+{
+	const struct config_zone *found = config_find_zone(fleet->config, zone);
+
+	return found && found->out;
+}
+
+/* Upstreams of zones that operators have not taken out. */
+static guint count_expected(const struct policy_fleet *fleet,
+			    const struct list *list)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < list->upstreams->len; i++) {
+		const struct list_upstream *upstream =
+			list->upstreams->pdata[i];
+
+		if (!zone_out(fleet, upstream->zone))
+			count++;
+	}
+	return count;
+}
+
+static bool shrank_too_much(const struct policy_fleet *fleet,
+			    const struct list *list)
+{
+	guint before;
+	guint after;
+
+	if (!fleet->list)
+		return false;
+	before = count_expected(fleet, fleet->list);
+	after = count_expected(fleet, list);
+	return after < before * (1 - fleet->config->list_shrink_max);
+}
+
+static void mark_gone(struct policy_upstream *upstream, void *user)
+{
+	upstream->gone = true;
+}
+
+static void forget_upstream(struct policy_fleet *fleet,
+			    struct policy_upstream *upstream)
+{
+	g_hash_table_remove(fleet->upstreams, upstream->id);
+	TAILQ_REMOVE(&upstream->service->upstreams, upstream, link);
+	upstream_destroy(upstream);
+}
+
+static void collect_idle(struct policy_upstream *upstream, void *user)
+{
+	GPtrArray *idle = user;
+
+	if (upstream->gone && !upstream->inflight)
+		g_ptr_array_add(idle, upstream);
+}
+
+static void forget_gone(struct policy_fleet *fleet)
+{
+	g_autoptr(GPtrArray) idle = g_ptr_array_new();
+
+	policy_fleet_each(fleet, collect_idle, idle);
+	for (guint i = 0; i < idle->len; i++)
+		forget_upstream(fleet, idle->pdata[i]);
+}
+
+static void set_incarnation(struct policy_fleet *fleet,
+			    struct policy_upstream *upstream,
+			    const char *incarnation)
+{
+	if (!strcmp(upstream->incarnation, incarnation))
+		return;
+	g_free(upstream->incarnation);
+	upstream->incarnation = g_strdup(incarnation);
+	upstream->leaving = false;
+	upstream->suspended_us = 0;
+	upstream->fail_run = 0;
+	upstream->good_us = 0;
+	g_hash_table_remove_all(upstream->denied);
+	upstream_set_phase(upstream, POLICY_COLD, fleet->daemons_max);
+}
+
+static void take_upstream(struct policy_fleet *fleet,
+			  const struct list_upstream *listed)
+{
+	struct policy_upstream *upstream =
+		g_hash_table_lookup(fleet->upstreams, listed->id);
+
+	if (upstream && strcmp(upstream->service->name, listed->service) != 0)
+		return;
+	if (!upstream) {
+		struct policy_service *service =
+			need_service(fleet, listed->service);
+
+		upstream = upstream_create(service, listed);
+		TAILQ_INSERT_TAIL(&service->upstreams, upstream, link);
+		g_hash_table_insert(fleet->upstreams, upstream->id, upstream);
+	}
+	set_incarnation(fleet, upstream, listed->incarnation);
+	upstream_update(upstream, listed);
+}
+
+static struct policy_pin *create_pin(const struct list_snapshot *snapshot)
+{
+	struct policy_pin *pin = g_new0(struct policy_pin, 1);
+
+	g_ref_count_init(&pin->refs);
+	pin->snapshot = g_strdup(snapshot->id);
+	pin->map = snapshot->map;
+	pin->shards = g_ptr_array_new();
+	for (guint i = 0; i < snapshot->shards->len; i++) {
+		const struct list_shard *listed = snapshot->shards->pdata[i];
+		struct list_shard *shard = g_new0(struct list_shard, 1);
+
+		shard->id = g_strdup(listed->id);
+		shard->documents = listed->documents;
+		pin->documents += listed->documents;
+		g_ptr_array_add(pin->shards, shard);
+	}
+	return pin;
+}
+
+void policy_pin_unref(struct policy_pin *pin)
+{
+	if (!pin || !g_ref_count_dec(&pin->refs))
+		return;
+	for (guint i = 0; i < pin->shards->len; i++) {
+		struct list_shard *shard = pin->shards->pdata[i];
+
+		g_free(shard->id);
+		g_free(shard);
+	}
+	g_ptr_array_unref(pin->shards);
+	g_free(pin->snapshot);
+	g_free(pin);
+}
+
+static void take_snapshots(struct policy_fleet *fleet, const struct list *list)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_set_size(((struct policy_service *)value)->pins, 0);
+	for (guint i = 0; i < list->snapshots->len; i++) {
+		const struct list_snapshot *snapshot =
+			list->snapshots->pdata[i];
+		struct policy_service *service =
+			need_service(fleet, snapshot->service);
+
+		g_ptr_array_add(service->pins, create_pin(snapshot));
+	}
+}
+
+static int check_list(const struct policy_fleet *fleet, const struct list *list)
+{
+	if (!fleet->config)
+		return CS_E_NOT_READY;
+	if (fleet->list && list->revision <= fleet->list->revision)
+		return CS_E_STALE;
+	if (shrank_too_much(fleet, list))
+		return CS_E_RANGE;
+	return 0;
+}
+
+int policy_fleet_set_list(struct policy_fleet *fleet, struct list *list,
+			  gint64 asked_us, gint64 now_us)
+{
+	int error = check_list(fleet, list);
+
+	if (error) {
+		list_destroy(list);
+		return error;
+	}
+	policy_fleet_each(fleet, mark_gone, NULL);
+	for (guint i = 0; i < list->upstreams->len; i++)
+		take_upstream(fleet, list->upstreams->pdata[i]);
+	forget_gone(fleet);
+	take_snapshots(fleet, list);
+	attach_configs(fleet);
+	policy_views_take(fleet->views, list->revision, list->daemons, now_us);
+	policy_views_confirm(fleet->views, asked_us);
+	list_destroy(fleet->list);
+	fleet->list = list;
+	return 0;
+}
+
+void policy_fleet_confirm_list(struct policy_fleet *fleet, gint64 asked_us)
+{
+	policy_views_confirm(fleet->views, asked_us);
+}
+
+bool policy_fleet_fresh(const struct policy_fleet *fleet, gint64 now_us)
+{
+	return policy_views_fresh(fleet->views, now_us);
+}
+
+struct policy_service *policy_fleet_service(struct policy_fleet *fleet,
+					    const char *name)
+{
+	struct policy_service *service =
+		g_hash_table_lookup(fleet->services, name);
+
+	return service && service->config ? service : NULL;
+}
+
+void policy_fleet_each(struct policy_fleet *fleet,
+		       void (*visit)(struct policy_upstream *upstream,
+				     void *user),
+		       void *user)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		visit(value, user);
+}
+
+void policy_upstream_begin(struct policy_upstream *upstream)
+{
+	upstream->inflight++;
+}
+
+void policy_upstream_end(struct policy_fleet *fleet,
+			 struct policy_upstream *upstream,
+			 enum policy_result result, gint64 sent_us,
+			 gint64 now_us)
+{
+	upstream->inflight--;
+	upstream_note(upstream, result, now_us - sent_us, now_us,
+		      fleet->daemons_max, fleet->counters);
+	if (upstream->gone && !upstream->inflight)
+		forget_upstream(fleet, upstream);
+}
+
+void policy_upstream_heard(struct policy_fleet *fleet,
+			   struct policy_upstream *upstream,
+			   const struct policy_word *word)
+{
+	if (word->incarnation)
+		set_incarnation(fleet, upstream, word->incarnation);
+	if (word->draining)
+		upstream->leaving = true;
+	if (word->cold && upstream->phase == POLICY_WARM)
+		upstream_set_phase(upstream, POLICY_COLD, fleet->daemons_max);
+}
+
+void policy_fleet_peer_warm(struct policy_fleet *fleet, const char *id,
+			    const char *incarnation, gint64 now_us)
+{
+	struct policy_upstream *upstream =
+		g_hash_table_lookup(fleet->upstreams, id);
+
+	if (!upstream || upstream->phase == POLICY_WARM)
+		return;
+	if (strcmp(upstream->incarnation, incarnation) != 0)
+		return;
+	if (upstream->relapsed_us &&
+	    now_us - upstream->relapsed_us < OWN_WORD_US)
+		return;
+	upstream_set_phase(upstream, POLICY_WARM, fleet->daemons_max);
+	upstream->limit = 1;
+}
--- /dev/null
+++ b/src/libpolicy/service.c
@@ -0,0 +1,110 @@
+/* Per service: admission, the budget of extra load, the hedge quantile. */
+#include "service.h"
+
+#include "cuminsail/clock.h"
+#include "cuminsail/error.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Answers between two computations of the quantile. */
+#define QUANTILE_EVERY 32
+
+/* Retries and hedges that may come at once, before the share limits them. */
+#define TOKENS_MAX   20.0
+#define TOKENS_START 5.0
+
+struct policy_service *service_create(const char *name)
+{
+	struct policy_service *service = g_new0(struct policy_service, 1);
+
+	service->name = g_strdup(name);
+	service->tokens = TOKENS_START;
+	service->pins = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)policy_pin_unref);
+	TAILQ_INIT(&service->upstreams);
+	TAILQ_INIT(&service->waiters);
+	return service;
+}
+
+void service_destroy(struct policy_service *service)
+{
+	while (!TAILQ_EMPTY(&service->upstreams)) {
+		struct policy_upstream *upstream =
+			TAILQ_FIRST(&service->upstreams);
+
+		TAILQ_REMOVE(&service->upstreams, upstream, link);
+		upstream_destroy(upstream);
+	}
+	g_ptr_array_unref(service->pins);
+	g_free(service->name);
+	g_free(service);
+}
+
+const struct config_service *policy_service_config(
+	const struct policy_service *service)
+{
+	return service->config;
+}
+
+static int compare_times(const void *a, const void *b)
+{
+	gint64 x = *(const gint64 *)a;
+	gint64 y = *(const gint64 *)b;
+
+	return (x > y) - (x < y);
+}
+
+static void compute_quantile(struct policy_service *service)
+{
+	gint64 sorted[LATENCY_RING];
+	guint n = MIN(service->samples, LATENCY_RING);
+	guint index = (guint)(service->config->hedge_quantile * n);
+
+	memcpy(sorted, service->ring_us, n * sizeof(sorted[0]));
+	qsort(sorted, n, sizeof(sorted[0]), compare_times);
+	service->hedge_us = MAX(sorted[MIN(index, n - 1)],
+				service->config->hedge_min_ms * CS_US_PER_MS);
+}
+
+void service_note_latency(struct policy_service *service, gint64 latency_us)
+{
+	service->ring_us[service->samples % LATENCY_RING] = latency_us;
+	service->samples++;
+	if (service->samples % QUANTILE_EVERY == 0 && service->config)
+		compute_quantile(service);
+}
+
+gint64 policy_service_hedge_us(const struct policy_service *service)
+{
+	if (service->config->hedge_quantile <= 0)
+		return 0;
+	return service->hedge_us;
+}
+
+void policy_service_earn(struct policy_service *service)
+{
+	service->tokens =
+		MIN(service->tokens + service->config->extra_load, TOKENS_MAX);
+}
+
+bool policy_service_spend(struct policy_service *service)
+{
+	if (service->tokens < 1)
+		return false;
+	service->tokens -= 1;
+	return true;
+}
+
+int policy_service_enter(struct policy_service *service)
+{
+	if (service->in_progress >= service->config->queue_max)
+		return CS_E_OVERLOAD;
+	service->in_progress++;
+	return 0;
+}
+
+void policy_service_leave(struct policy_service *service)
+{
+	service->in_progress--;
+}
--- /dev/null
+++ b/src/libpolicy/upstream.c
@@ -0,0 +1,281 @@
+/* Phases and limits of one upstream. */
+#include "service.h"
+
+#include "cuminsail/policy_query.h"
+
+#include "cuminsail/clock.h"
+
+#include <string.h>
+
+/* Weight of a new latency in the moving average. */
+#define LATENCY_WEIGHT 0.2
+
+/* Cut of the limit on a refusal, and its floor. */
+#define LIMIT_CUT   0.7
+#define LIMIT_FLOOR 1.0
+
+/* Failures in a row after which a warm upstream counts as cold again. */
+#define RELAPSE_RUN 5
+
+/* Failures in a row after which an upstream is left alone for a while. */
+#define SUSPEND_RUN 2
+
+/* The first such while; it doubles up to the longest. */
+#define SUSPEND_FIRST_US (100 * CS_US_PER_MS)
+#define SUSPEND_MAX_US	 (3 * CS_US_PER_S)
+
+/* How long an answer that denied a snapshot outranks the list. */
+#define DENIED_US CS_US_PER_S
+
+/* Oldest good answer that peers are told of. */
+#define WARM_AGE_MAX_US (30 * CS_US_PER_S)
+
+const char *policy_phase_name(enum policy_phase phase)
+{
+	switch (phase) {
+	case POLICY_UNKNOWN:
+		return "unknown";
+	case POLICY_COLD:
+		return "cold";
+	case POLICY_WARMING:
+		return "warming";
+	case POLICY_WARM:
+		return "warm";
+	}
+	return "unknown";
+}
+
+struct policy_upstream *upstream_create(struct policy_service *service,
+					const struct list_upstream *listed)
+{
+	struct policy_upstream *upstream = g_new0(struct policy_upstream, 1);
+
+	upstream->service = service;
+	upstream->id = g_strdup(listed->id);
+	upstream->shard = g_strdup(listed->shard);
+	upstream->zone = g_strdup(listed->zone);
+	upstream->address = g_strdup(listed->address);
+	upstream->incarnation = g_strdup(listed->incarnation);
+	upstream->snapshots =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	upstream->denied =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	upstream_set_phase(upstream, POLICY_UNKNOWN, 1);
+	return upstream;
+}
+
+void upstream_destroy(struct policy_upstream *upstream)
+{
+	g_free(upstream->id);
+	g_free(upstream->shard);
+	g_free(upstream->zone);
+	g_free(upstream->address);
+	g_free(upstream->incarnation);
+	g_hash_table_unref(upstream->snapshots);
+	g_hash_table_unref(upstream->denied);
+	g_free(upstream);
+}
+
+static double cold_limit(const struct policy_upstream *upstream)
+{
+	const struct config_service *config = upstream->service->config;
+
+	return config ? (double)config->cold_limit : 1;
+}
+
+/* This daemon's share of the connections the upstream takes in all. */
+static double warm_limit(const struct policy_upstream *upstream,
+			 guint daemons_max)
+{
+	const struct config_service *config = upstream->service->config;
+
+	if (!config)
+		return 1;
+	return (double)MAX(config->connections / daemons_max, 1);
+}
+
+void upstream_set_phase(struct policy_upstream *upstream,
+			enum policy_phase phase, guint daemons_max)
+{
+	upstream->phase = phase;
+	upstream->good_run = 0;
+	switch (phase) {
+	case POLICY_UNKNOWN:
+	case POLICY_COLD:
+	case POLICY_WARMING:
+		upstream->limit = cold_limit(upstream);
+		break;
+	case POLICY_WARM:
+		upstream->limit = warm_limit(upstream, daemons_max);
+		break;
+	}
+}
+
+/* An older list must not undo what a newer incarnation said of itself. */
+static void replace_string(char **target, const char *value)
+{
+	if (!strcmp(*target, value))
+		return;
+	g_free(*target);
+	*target = g_strdup(value);
+}
+
+void upstream_update(struct policy_upstream *upstream,
+		     const struct list_upstream *listed)
+{
+	upstream->gone = false;
+	upstream->leaving = upstream->leaving || listed->leaving;
+	replace_string(&upstream->zone, listed->zone);
+	replace_string(&upstream->shard, listed->shard);
+	replace_string(&upstream->address, listed->address);
+	g_hash_table_remove_all(upstream->snapshots);
+	for (guint i = 0; i < listed->snapshots->len; i++)
+		g_hash_table_add(upstream->snapshots,
+				 g_strdup(listed->snapshots->pdata[i]));
+}
+
+bool upstream_holds(const struct policy_upstream *upstream,
+		    const char *snapshot, gint64 now_us)
+{
+	const gint64 *until;
+
+	if (!snapshot)
+		return true;
+	if (!g_hash_table_contains(upstream->snapshots, snapshot))
+		return false;
+	until = g_hash_table_lookup(upstream->denied, snapshot);
+	return !until || *until <= now_us;
+}
+
+void policy_upstream_deny(struct policy_upstream *upstream,
+			  const char *snapshot, gint64 now_us)
+{
+	gint64 until = now_us + DENIED_US;
+
+	g_hash_table_insert(upstream->denied, g_strdup(snapshot),
+			    g_memdup2(&until, sizeof(until)));
+}
+
+bool policy_upstream_warm_lately(const struct policy_upstream *upstream,
+				 gint64 now_us)
+{
+	if (upstream->phase != POLICY_WARM || !upstream->good_us)
+		return false;
+	return now_us - upstream->good_us <= WARM_AGE_MAX_US;
+}
+
+static void suspend(struct policy_upstream *upstream, gint64 now_us)
+{
+	guint steps;
+	gint64 pause;
+
+	if (upstream->fail_run < SUSPEND_RUN)
+		return;
+	steps = MIN(upstream->fail_run - SUSPEND_RUN, 5);
+	pause = MIN(SUSPEND_FIRST_US << steps, SUSPEND_MAX_US);
+	upstream->suspended_us = now_us + pause;
+}
+
+/* Good answers raise the limit: by steps while warming, by parts when warm. */
+static void note_good(struct policy_upstream *upstream, gint64 now_us,
+		      guint daemons_max, struct cs_counters *counters)
+{
+	const struct config_service *config = upstream->service->config;
+	double most = warm_limit(upstream, daemons_max);
+
+	upstream->fail_run = 0;
+	upstream->suspended_us = 0;
+	upstream->good_us = now_us;
+	if (upstream->phase == POLICY_WARM) {
+		upstream->limit =
+			MIN(upstream->limit + 1 / upstream->limit, most);
+		return;
+	}
+	upstream->good_run++;
+	if (!config || upstream->good_run < config->warm_after)
+		return;
+	upstream->good_run = 0;
+	upstream->phase = POLICY_WARMING;
+	upstream->limit *= 2;
+	if (upstream->limit < (double)config->slots)
+		return;
+	upstream_set_phase(upstream, POLICY_WARM, daemons_max);
+	cs_counters_add(counters, CS_N_WARMED, 1);
+}
+
+static void relapse(struct policy_upstream *upstream, gint64 now_us,
+		    guint daemons_max, struct cs_counters *counters)
+{
+	upstream->relapsed_us = now_us;
+	if (upstream->phase == POLICY_WARM)
+		cs_counters_add(counters, CS_N_RELAPSES, 1);
+	upstream_set_phase(upstream, POLICY_COLD, daemons_max);
+}
+
+static void note_bad(struct policy_upstream *upstream, gint64 now_us,
+		     guint daemons_max, struct cs_counters *counters)
+{
+	upstream->fail_run++;
+	if (upstream->phase == POLICY_WARM)
+		upstream->limit = MAX(upstream->limit * LIMIT_CUT, LIMIT_FLOOR);
+	if (upstream->phase != POLICY_WARM || upstream->fail_run >= RELAPSE_RUN)
+		relapse(upstream, now_us, daemons_max, counters);
+}
+
+void upstream_note(struct policy_upstream *upstream, enum policy_result result,
+		   gint64 latency_us, gint64 now_us, guint daemons_max,
+		   struct cs_counters *counters)
+{
+	switch (result) {
+	case POLICY_DONE:
+		upstream->latency_us += LATENCY_WEIGHT * ((double)latency_us -
+							  upstream->latency_us);
+		service_note_latency(upstream->service, latency_us);
+		note_good(upstream, now_us, daemons_max, counters);
+		break;
+	case POLICY_REFUSED:
+		cs_counters_add(counters, CS_N_SHEDS, 1);
+		note_bad(upstream, now_us, daemons_max, counters);
+		break;
+	case POLICY_TIMEOUT:
+		note_bad(upstream, now_us, daemons_max, counters);
+		break;
+	case POLICY_UNSENT:
+	case POLICY_LOST:
+		/* A process that went away comes back cold. */
+		upstream->fail_run++;
+		relapse(upstream, now_us, daemons_max, counters);
+		suspend(upstream, now_us);
+		break;
+	case POLICY_BAD:
+		upstream->fail_run++;
+		suspend(upstream, now_us);
+		break;
+	case POLICY_LACKS:
+	case POLICY_DROPPED:
+		break;
+	}
+}
+
+const char *policy_result_name(enum policy_result result)
+{
+	switch (result) {
+	case POLICY_DONE:
+		return "done";
+	case POLICY_UNSENT:
+		return "unsent";
+	case POLICY_REFUSED:
+		return "refused";
+	case POLICY_LACKS:
+		return "lacks-snapshot";
+	case POLICY_LOST:
+		return "lost";
+	case POLICY_TIMEOUT:
+		return "timeout";
+	case POLICY_BAD:
+		return "bad-answer";
+	case POLICY_DROPPED:
+		return "dropped";
+	}
+	return "unknown";
+}
--- /dev/null
+++ b/src/share/counters.c
@@ -0,0 +1,102 @@
+#include "cuminsail/counters.h"
+
+#include "cuminsail/error.h"
+
+#include <string.h>
+
+/* Result codes run from -1 down to -(REFUSALS_MAX - 1). */
+#define REFUSALS_MAX 64
+
+struct cs_counters {
+	guint64 values[CS_N_COUNTERS];
+	guint64 refusals[REFUSALS_MAX];
+};
+
+struct counter_row {
+	const char *metric;
+	const char *label;
+	const char *help;
+};
+
+static const struct counter_row rows[] = {
+#define X(id, metric, label, help) {metric, label, help},
+	CS_COUNTER_TABLE(X)
+#undef X
+};
+
+struct cs_counters *cs_counters_create(void)
+{
+	return g_new0(struct cs_counters, 1);
+}
+
+void cs_counters_destroy(struct cs_counters *counters)
+{
+	g_free(counters);
+}
+
+void cs_counters_add(struct cs_counters *counters, enum cs_counter which,
+		     guint64 n)
+{
+	counters->values[which] += n;
+}
+
+void cs_counters_refuse(struct cs_counters *counters, int code)
+{
+	if (code < 0 && code > -REFUSALS_MAX)
+		counters->refusals[-code]++;
+}
+
+guint64 cs_counters_get(const struct cs_counters *counters,
+			enum cs_counter which)
+{
+	return counters->values[which];
+}
+
+static void print_head(GString *out, const char *metric, const char *help)
+{
+	g_string_append_printf(out, "# HELP cuminsail_%s %s\n", metric, help);
+	g_string_append_printf(out, "# TYPE cuminsail_%s counter\n", metric);
+}
+
+static void print_row(GString *out, const struct counter_row *row,
+		      guint64 value)
+{
+	const char *equals = strchr(row->label, '=');
+
+	g_string_append_printf(out, "cuminsail_%s", row->metric);
+	if (equals)
+		g_string_append_printf(out, "{%.*s=\"%s\"}",
+				       (int)(equals - row->label), row->label,
+				       equals + 1);
+	g_string_append_printf(out, " %" G_GUINT64_FORMAT "\n", value);
+}
+
+static void print_refusals(GString *out, const struct cs_counters *counters)
+{
+	print_head(out, "refusals_total", "refusals towards callers");
+	for (int i = 1; i < REFUSALS_MAX; i++) {
+		const char *name = cs_error_name(-i);
+
+		if (!strcmp(name, "unknown-error"))
+			continue;
+		g_string_append_printf(out,
+				       "cuminsail_refusals_total{reason=\"%s\"}"
+				       " %" G_GUINT64_FORMAT "\n",
+				       name, counters->refusals[i]);
+	}
+}
+
+char *cs_counters_print(const struct cs_counters *counters)
+{
+	GString *out = g_string_new(NULL);
+	const char *previous = "";
+
+	for (int i = 0; i < CS_N_COUNTERS; i++) {
+		if (strcmp(rows[i].metric, previous) != 0)
+			print_head(out, rows[i].metric, rows[i].help);
+		previous = rows[i].metric;
+		print_row(out, &rows[i], counters->values[i]);
+	}
+	print_refusals(out, counters);
+	return g_string_free(out, FALSE);
+}
--- /dev/null
+++ b/test/standin/sizes.c
@@ -0,0 +1,26 @@
+/* standin-sizes SNAPSHOT SHARDS: the shards of a map, as a list has them. */
+#include "catalogue.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+int main(int argc, char **argv)
+{
+	g_autoptr(GPtrArray) documents = NULL;
+	guint shards;
+
+	if (argc != 3)
+		return 2;
+	documents = catalogue_create(argv[1]);
+	shards = (guint)strtoul(argv[2], NULL, 10);
+	for (guint i = 0; i < shards; i++) {
+		guint searched;
+		g_autoptr(GArray) hits = catalogue_search(documents, i, shards,
+							  "", 0, &searched);
+
+		printf("%c{\"id\":\"%u\",\"documents\":%u}", i ? ',' : '[', i,
+		       searched);
+	}
+	puts("]");
+	return 0;
+}
