--- a/include/cuminsail/policy_fleet.h
+++ b/include/cuminsail/policy_fleet.h
@@ -31,6 +31,7 @@
 	POLICY_TIMEOUT, /* sent, no answer inside the time */
 	POLICY_BAD, /* an answer that does not belong or is malformed */
 	POLICY_DROPPED, /* cancelled by this daemon: says nothing */
+	POLICY_WITHDRAWN, /* the same, before anyone was told to send it */
 };
 
 struct policy_fleet;
@@ -44,9 +45,11 @@
 	char *shard;
 	char *zone;
 	char *address;
-	char *incarnation;
+	char *incarnation; /* by the list or by its own word */
+	char *listed; /* incarnation in the last list */
 	enum policy_phase phase;
 	bool leaving; /* by the list or by its own word */
+	bool listed_leaving; /* in the last list */
 	bool gone; /* no longer listed; freed when idle */
 	guint inflight; /* attempts open from this daemon */
 	double limit; /* attempts this daemon may have open */
--- a/include/cuminsail/policy_query.h
+++ b/include/cuminsail/policy_query.h
@@ -60,7 +60,10 @@
 		POLICY_FINISH,
 	} kind;
 	gint64 attempt;
-	/* The rest is for POLICY_SEND and lives until the next call. */
+	/*
+	 * The rest is for POLICY_SEND. The texts live as long as the query, the
+	 * upstream as long as the attempt is open.
+	 */
 	struct policy_upstream *upstream;
 	const char *shard;
 	const char *snapshot;
--- a/src/libpolicy/fleet.c
+++ b/src/libpolicy/fleet.c
@@ -223,7 +223,9 @@
 		TAILQ_INSERT_TAIL(&service->upstreams, upstream, link);
 		g_hash_table_insert(fleet->upstreams, upstream->id, upstream);
 	}
-	set_incarnation(fleet, upstream, listed->incarnation);
+	/* A list that lags must not undo what an upstream said of itself. */
+	if (strcmp(upstream->listed, listed->incarnation) != 0)
+		set_incarnation(fleet, upstream, listed->incarnation);
 	upstream_update(upstream, listed);
 }
 
--- a/src/libpolicy/query.c
+++ b/src/libpolicy/query.c
@@ -47,7 +47,6 @@
 
 static void set_pin(struct policy_query *query, struct policy_pin *pin)
 {
-	policy_pin_unref(query->pin);
 	query->pin = pin;
 	g_array_set_size(query->shards, 0);
 	for (guint i = 0; i < pin->shards->len; i++) {
@@ -188,6 +187,7 @@
 	case POLICY_UNSENT:
 	case POLICY_REFUSED:
 	case POLICY_LACKS:
+	case POLICY_WITHDRAWN:
 		break;
 	case POLICY_DONE:
 	case POLICY_LOST:
@@ -205,9 +205,30 @@
 	g_free(attempt);
 }
 
+/* Take back an attempt whose POLICY_SEND nobody has taken yet. */
+static bool take_back(struct policy_query *query, gint64 number)
+{
+	struct queued_action *queued;
+
+	TAILQ_FOREACH (queued, &query->actions, link) {
+		if (queued->action.kind == POLICY_SEND &&
+		    queued->action.attempt == number)
+			break;
+	}
+	if (!queued)
+		return false;
+	TAILQ_REMOVE(&query->actions, queued, link);
+	g_free(queued);
+	return true;
+}
+
 static void cancel_attempt(struct policy_query *query, struct attempt *attempt,
 			   enum policy_result result, gint64 now_us)
 {
+	if (take_back(query, attempt->number)) {
+		close_attempt(query, attempt, POLICY_WITHDRAWN, now_us);
+		return;
+	}
 	push_action(query, (struct policy_action){
 				   .kind = POLICY_CANCEL,
 				   .attempt = attempt->number,
@@ -323,6 +344,7 @@
 	case POLICY_LACKS:
 	case POLICY_BAD:
 	case POLICY_DROPPED:
+	case POLICY_WITHDRAWN:
 		break;
 	}
 	return CS_N_RETRY_BAD;
@@ -446,6 +468,7 @@
 	query->restarted = true;
 	cs_counters_add(query->counters, CS_N_RESTARTS, 1);
 	cancel_open(query, NULL, now_us);
+	query->old_pin = g_steal_pointer(&query->pin);
 	set_pin(query, pin);
 	return true;
 }
@@ -549,6 +572,7 @@
 	if (query->answer.hits)
 		g_ptr_array_unref(query->answer.hits);
 	policy_pin_unref(query->pin);
+	policy_pin_unref(query->old_pin);
 	g_free(query->request_id);
 	g_free(query);
 }
--- a/src/libpolicy/query.h
+++ b/src/libpolicy/query.h
@@ -62,6 +62,7 @@
 	struct policy_ask ask;
 	char *request_id;
 	struct policy_pin *pin;
+	struct policy_pin *old_pin; /* before the restart */
 	GArray *shards; /* struct shard */
 	TAILQ_HEAD(, attempt) open;
 	TAILQ_HEAD(, queued_action) actions;
--- a/src/libpolicy/run.c
+++ b/src/libpolicy/run.c
@@ -173,6 +173,7 @@
 	case POLICY_LOST:
 	case POLICY_TIMEOUT:
 	case POLICY_DROPPED:
+	case POLICY_WITHDRAWN:
 		finish(run, CS_E_LOST, CS_UNKNOWN);
 		break;
 	}
--- a/src/libpolicy/upstream.c
+++ b/src/libpolicy/upstream.c
@@ -56,6 +56,7 @@
 	upstream->zone = g_strdup(listed->zone);
 	upstream->address = g_strdup(listed->address);
 	upstream->incarnation = g_strdup(listed->incarnation);
+	upstream->listed = g_strdup(listed->incarnation);
 	upstream->snapshots =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	upstream->denied =
@@ -71,6 +72,7 @@
 	g_free(upstream->zone);
 	g_free(upstream->address);
 	g_free(upstream->incarnation);
+	g_free(upstream->listed);
 	g_hash_table_unref(upstream->snapshots);
 	g_hash_table_unref(upstream->denied);
 	g_free(upstream);
@@ -111,7 +113,6 @@
 	}
 }
 
-/* An older list must not undo what a newer incarnation said of itself. */
 static void replace_string(char **target, const char *value)
 {
 	if (!strcmp(*target, value))
@@ -120,11 +121,27 @@
 	*target = g_strdup(value);
 }
 
+/* The list speaks of the incarnation that it names, and only by a change. */
+static void update_leaving(struct policy_upstream *upstream,
+			   const struct list_upstream *listed)
+{
+	bool was_leaving = upstream->listed_leaving;
+
+	upstream->listed_leaving = listed->leaving;
+	if (strcmp(upstream->incarnation, listed->incarnation) != 0)
+		return;
+	if (listed->leaving)
+		upstream->leaving = true;
+	else if (was_leaving)
+		upstream->leaving = false;
+}
+
 void upstream_update(struct policy_upstream *upstream,
 		     const struct list_upstream *listed)
 {
 	upstream->gone = false;
-	upstream->leaving = upstream->leaving || listed->leaving;
+	update_leaving(upstream, listed);
+	replace_string(&upstream->listed, listed->incarnation);
 	replace_string(&upstream->zone, listed->zone);
 	replace_string(&upstream->shard, listed->shard);
 	replace_string(&upstream->address, listed->address);
@@ -253,6 +270,7 @@
 		break;
 	case POLICY_LACKS:
 	case POLICY_DROPPED:
+	case POLICY_WITHDRAWN:
 		break;
 	}
 }
@@ -276,6 +294,8 @@
 		return "bad-answer";
 	case POLICY_DROPPED:
 		return "dropped";
+	case POLICY_WITHDRAWN:
+		return "withdrawn";
 	}
 	return "unknown";
 }
--- a/src/libupstream/client.c
+++ b/src/libupstream/client.c
@@ -297,8 +297,10 @@
 
 	soup_message_set_request_body_from_bytes(message, CONTENT_JSON, bytes);
 	soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
-	if (call->is_order)
-		soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+	/* Without either flag the library opens a connection for each POST. */
+	soup_message_add_flags(message, call->is_order
+						? SOUP_MESSAGE_NEW_CONNECTION
+						: SOUP_MESSAGE_IDEMPOTENT);
 	return message;
 }
 
--- /dev/null
+++ b/test/client.sh
@@ -0,0 +1,57 @@
+#!/bin/bash
+# test/client.sh BUILD: the programs' command lines, case by case.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+BIN=$1/src
+WORK=$(mktemp -d)
+trap 'rm -rf "$WORK"' EXIT
+bad=0
+
+# expect STATUS PATTERN COMMAND...: exit status and something it prints.
+expect() {
+	local status=$1 pattern=$2 out got
+	shift 2
+	out=$("$@" 2>&1)
+	got=$?
+	if [ $got != "$status" ] || ! grep -qE -- "$pattern" <<<"$out"; then
+		echo "client: $*: exit $got, wanted $status and /$pattern/: $out"
+		bad=1
+	fi
+}
+
+folder() { # NAME TEXT: a folder of the example with one file more
+	rm -rf "$WORK/$1"
+	cp -r examples/pedalplegable "$WORK/$1"
+	printf '%s' "$2" >"$WORK/$1/90-more.json"
+}
+
+for example in examples/pedalplegable examples/jharna; do
+	expect 0 'good, digest [0-9a-f]{64}' $BIN/cuminsail check $example
+done
+folder out '{"zones": {"costa-a": {"out": true}}}'
+expect 1 'zones.costa-a.out: the zone is taken out' \
+	$BIN/cuminsail diff examples/pedalplegable "$WORK/out"
+expect 0 '^0 changes' $BIN/cuminsail diff "$WORK/out" "$WORK/out"
+expect 0 '"customer": "pedalplegable"' $BIN/cuminsail merge "$WORK/out"
+folder unknown '{"services": {"part-detail": {"slot": 3}}}'
+expect 1 'services.part-detail.slot: unknown key' $BIN/cuminsail check "$WORK/unknown"
+folder twice '{"zones": {}, "zones": {}}'
+expect 1 '90-more.json: .*duplicate' $BIN/cuminsail check "$WORK/twice"
+folder broken '{"zones": '
+expect 1 'bad-json: 90-more.json: line 1' $BIN/cuminsail check "$WORK/broken"
+folder big "{\"customer\": \"$(head -c 300000 /dev/zero | tr '\0' x)\"}"
+expect 1 'too-large: 90-more.json' $BIN/cuminsail check "$WORK/big"
+expect 1 'No such file' $BIN/cuminsail check "$WORK/nowhere"
+expect 2 'no such command' $BIN/cuminsail fly
+expect 2 'takes 1 argument' $BIN/cuminsail check
+expect 3 'refused' $BIN/cuminsail -d 127.0.0.1:1 status
+
+expect 0 'settings are good' $BIN/cuminsaild --check examples/settings/entry-1.json
+sed 's/"port": 8080/"port": 80800/' examples/settings/entry-1.json >"$WORK/port.json"
+expect 2 'caller.port: value 80800 is outside' $BIN/cuminsaild "$WORK/port.json"
+sed 's/127.0.0.1/localhost/' examples/settings/entry-1.json >"$WORK/name.json"
+expect 2 'localhost is not an IP number' $BIN/cuminsaild --check "$WORK/name.json"
+expect 2 'settings-refused' $BIN/cuminsaild "$WORK/none.json"
+expect 64 'Usage' $BIN/cuminsaild
+[ $bad = 0 ] && echo "client: all cases good"
+exit $bad
--- /dev/null
+++ b/test/unit/test_fleet.c
@@ -0,0 +1,583 @@
+/* Phases of upstreams, zones, lists, and the choice among them. */
+#include "unit.h"
+
+#include <string.h>
+
+static struct policy_upstream *choose(struct world *world)
+{
+	enum policy_lack lack;
+
+	return policy_fleet_choose(world->fleet, world->service, "0", "s1",
+				   NULL, world->now_us, &lack);
+}
+
+static void end_attempt(struct world *world, struct policy_upstream *upstream,
+			enum policy_result result)
+{
+	policy_upstream_end(world->fleet, upstream, result, world->now_us - MS,
+			    world->now_us);
+}
+
+static void one_attempt(struct world *world, struct policy_upstream *upstream,
+			enum policy_result result)
+{
+	policy_upstream_begin(upstream);
+	end_attempt(world, upstream, result);
+}
+
+/* ---- cold upstreams ---- */
+
+START_TEST(an_unknown_upstream_gets_nothing_before_it_is_owned)
+{
+	struct world world = world_create(1, 1);
+
+	ck_assert_ptr_null(choose(&world));
+	world_own(&world);
+	ck_assert_ptr_nonnull(choose(&world));
+	world_destroy(&world);
+}
+END_TEST
+
+START_TEST(a_cold_upstream_gets_its_limit_and_no_more)
+{
+	struct world world = world_create(1, 1);
+	struct policy_upstream *upstream;
+
+	world_own(&world);
+	upstream = choose(&world);
+	policy_upstream_begin(upstream);
+	ck_assert_ptr_null(choose(&world));
+	end_attempt(&world, upstream, POLICY_DONE);
+	ck_assert_ptr_eq(choose(&world), upstream);
+	world_destroy(&world);
+}
+END_TEST
+
+/* warm_after is 2, slots are 4: 1, 2, then 4 is warm. */
+START_TEST(good_answers_raise_the_limit_by_steps)
+{
+	static const struct {
+		enum policy_phase phase;
+		double limit;
+	} steps[] = {
+		{POLICY_UNKNOWN, 1},
+		{POLICY_WARMING, 2},
+		{POLICY_WARMING, 2},
+		{POLICY_WARM, 8},
+	};
+	struct world world = world_create(1, 1);
+	struct policy_upstream *upstream = world_upstream(&world, "s0-0");
+
+	world_own(&world);
+	for (guint i = 0; i < G_N_ELEMENTS(steps); i++) {
+		one_attempt(&world, upstream, POLICY_DONE);
+		ck_assert_int_eq(upstream->phase, steps[i].phase);
+		ck_assert_double_eq(upstream->limit, steps[i].limit);
+	}
+	ck_assert_uint_eq(cs_counters_get(world.counters, CS_N_WARMED), 1);
+	world_destroy(&world);
+}
+END_TEST
+
+START_TEST(any_trouble_while_warming_starts_over)
+{
+	static const enum policy_result troubles[] = {
+		POLICY_REFUSED, POLICY_TIMEOUT, POLICY_LOST, POLICY_UNSENT};
+
+	for (guint i = 0; i < G_N_ELEMENTS(troubles); i++) {
+		struct world world = world_create(1, 1);
+		struct policy_upstream *upstream =
+			world_upstream(&world, "s0-0");
+
+		one_attempt(&world, upstream, POLICY_DONE);
+		one_attempt(&world, upstream, POLICY_DONE);
+		ck_assert_int_eq(upstream->phase, POLICY_WARMING);
+		one_attempt(&world, upstream, troubles[i]);
+		ck_assert_int_eq(upstream->phase, POLICY_COLD);
+		ck_assert_double_eq(upstream->limit, 1);
+		world_destroy(&world);
+	}
+}
+END_TEST
+
+/* How a warm upstream turns cold, and how often something must happen. */
+START_TEST(a_warm_upstream_turns_cold)
+{
+	static const struct {
+		enum policy_result result;
+		guint times;
+		enum policy_phase phase;
+	} cases[] = {
+		{POLICY_UNSENT, 1, POLICY_COLD},
+		{POLICY_LOST, 1, POLICY_COLD},
+		{POLICY_REFUSED, 4, POLICY_WARM},
+		{POLICY_REFUSED, 5, POLICY_COLD},
+		{POLICY_TIMEOUT, 4, POLICY_WARM},
+		{POLICY_TIMEOUT, 5, POLICY_COLD},
+		{POLICY_DROPPED, 9, POLICY_WARM},
+		{POLICY_LACKS, 9, POLICY_WARM},
+		{POLICY_BAD, 9, POLICY_WARM},
+	};
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct world world = world_create(1, 1);
+		struct policy_upstream *upstream =
+			world_upstream(&world, "s0-0");
+
+		world_warm(&world);
+		for (guint n = 0; n < cases[i].times; n++)
+			one_attempt(&world, upstream, cases[i].result);
+		ck_assert_msg(upstream->phase == cases[i].phase, "case %u", i);
+		world_destroy(&world);
+	}
+}
+END_TEST
+
+START_TEST(a_new_incarnation_is_cold_by_list_and_by_word)
+{
+	for (guint by_word = 0; by_word < 2; by_word++) {
+		struct world world = world_create(1, 1);
+		struct policy_upstream *upstream =
+			world_upstream(&world, "s0-0");
+		struct policy_word word = {.incarnation = "i2"};
+
+		world_warm(&world);
+		if (by_word) {
+			policy_upstream_heard(world.fleet, upstream, &word);
+		} else {
+			json_object_set_new(world_listed(&world, "s0-0"),
+					    "incarnation", json_string("i2"));
+			ck_assert_int_eq(world_publish_list(&world), 0);
+		}
+		ck_assert_int_eq(upstream->phase, POLICY_COLD);
+		ck_assert_double_eq(upstream->limit, 1);
+		world_destroy(&world);
+	}
+}
+END_TEST
+
+/* The list lags: it must not bring back the incarnation before the last. */
+START_TEST(a_lagging_list_does_not_undo_the_upstreams_word)
+{
+	struct world world = world_create(1, 1);
+	struct policy_upstream *upstream = world_upstream(&world, "s0-0");
+	struct policy_word word = {.incarnation = "i2"};
+
+	policy_upstream_heard(world.fleet, upstream, &word);
+	world_warm(&world);
+	ck_assert_int_eq(world_publish_list(&world), 0);
+	ck_assert_str_eq(upstream->incarnation, "i2");
+	ck_assert_int_eq(upstream->phase, POLICY_WARM);
+	world_destroy(&world);
+}
+END_TEST
+
+START_TEST(its_own_word_turns_an_upstream_cold)
+{
+	struct world world = world_create(1, 1);
+	struct policy_upstream *upstream = world_upstream(&world, "s0-0");
+	struct policy_word word = {.cold = true};
+
+	world_warm(&world);
+	policy_upstream_heard(world.fleet, upstream, &word);
+	ck_assert_int_eq(upstream->phase, POLICY_COLD);
+	world_destroy(&world);
+}
+END_TEST
+
+START_TEST(peers_tell_what_is_warm)
+{
+	struct world world = world_create(1, 2);
+	struct policy_upstream *upstream = world_upstream(&world, "s0-0");
+
+	policy_fleet_peer_warm(world.fleet, "s0-0", "i0", world.now_us);
+	ck_assert_int_eq(upstream->phase, POLICY_UNKNOWN);
+	policy_fleet_peer_warm(world.fleet, "s0-0", "i1", world.now_us);
+	ck_assert_int_eq(upstream->phase, POLICY_WARM);
+	ck_assert_double_eq(upstream->limit, 1);
+	ck_assert(!policy_upstream_warm_lately(upstream, world.now_us));
+	one_attempt(&world, upstream, POLICY_DONE);
+	ck_assert(policy_upstream_warm_lately(upstream, world.now_us));
+	world_pass(&world, 31000 * MS);
+	ck_assert(!policy_upstream_warm_lately(upstream, world.now_us));
+	world_destroy(&world);
+}
+END_TEST
+
+/* What this daemon found itself outranks an older word of a peer. */
+START_TEST(a_peers_word_does_not_undo_a_relapse_at_once)
+{
+	struct world world = world_create(1, 1);
+	struct policy_upstream *upstream = world_upstream(&world, "s0-0");
+
+	world_warm(&world);
+	one_attempt(&world, upstream, POLICY_LOST);
+	policy_fleet_peer_warm(world.fleet, "s0-0", "i1", world.now_us);
+	ck_assert_int_eq(upstream->phase, POLICY_COLD);
+	world_pass(&world, 1001 * MS);
+	policy_fleet_peer_warm(world.fleet, "s0-0", "i1", world.now_us);
+	ck_assert_int_eq(upstream->phase, POLICY_WARM);
+	world_destroy(&world);
+}
+END_TEST
+
+/* ---- limits ---- */
+
+START_TEST(refusals_cut_the_limit_and_answers_raise_it)
+{
+	struct world world = world_create(1, 1);
+	struct policy_upstream *upstream = world_upstream(&world, "s0-0");
+	double cut;
+
+	world_warm(&world);
+	one_attempt(&world, upstream, POLICY_REFUSED);
+	cut = upstream->limit;
+	ck_assert_double_lt(cut, 6);
+	one_attempt(&world, upstream, POLICY_DONE);
+	ck_assert_double_gt(upstream->limit, cut);
+	for (guint i = 0; i < 100; i++)
+		one_attempt(&world, upstream, POLICY_DONE);
+	ck_assert_double_eq(upstream->limit, 8);
+	world_destroy(&world);
+}
+END_TEST
+
+START_TEST(an_upstream_that_went_away_is_left_alone_for_a_while)
+{
+	struct world world = world_create(1, 1);
+	struct policy_upstream *upstream = world_upstream(&world, "s0-0");
+
+	world_own(&world);
+	one_attempt(&world, upstream, POLICY_UNSENT);
+	ck_assert_ptr_nonnull(choose(&world));
+	one_attempt(&world, upstream, POLICY_UNSENT);
+	ck_assert_ptr_null(choose(&world));
+	world_pass(&world, 101 * MS);
+	ck_assert_ptr_eq(choose(&world), upstream);
+	one_attempt(&world, upstream, POLICY_UNSENT);
+	world_pass(&world, 101 * MS);
+	ck_assert_ptr_null(choose(&world));
+	world_pass(&world, 101 * MS);
+	ck_assert_ptr_eq(choose(&world), upstream);
+	world_destroy(&world);
+}
+END_TEST
+
+/* ---- leaving, zones ---- */
+
+START_TEST(a_leaving_upstream_gets_no_new_work)
+{
+	for (guint by_word = 0; by_word < 2; by_word++) {
+		struct world world = world_create(1, 1);
+		struct policy_word word = {.draining = true};
+
+		world_warm(&world);
+		ck_assert_ptr_nonnull(choose(&world));
+		if (by_word) {
+			policy_upstream_heard(world.fleet,
+					      world_upstream(&world, "s0-0"),
+					      &word);
+			/* The list does not know yet. */
+			ck_assert_int_eq(world_publish_list(&world), 0);
+		} else {
+			json_object_set_new(world_listed(&world, "s0-0"),
+					    "leaving", json_true());
+			ck_assert_int_eq(world_publish_list(&world), 0);
+		}
+		ck_assert_ptr_null(choose(&world));
+		world_destroy(&world);
+	}
+}
+END_TEST
+
+START_TEST(an_upstream_may_stay_after_all)
+{
+	struct world world = world_create(1, 1);
+	json_t *listed = world_listed(&world, "s0-0");
+
+	world_warm(&world);
+	json_object_set_new(listed, "leaving", json_true());
+	ck_assert_int_eq(world_publish_list(&world), 0);
+	ck_assert_ptr_null(choose(&world));
+	json_object_set_new(listed, "leaving", json_false());
+	ck_assert_int_eq(world_publish_list(&world), 0);
+	ck_assert_ptr_nonnull(choose(&world));
+	world_destroy(&world);
+}
+END_TEST
+
+/* The list still tells of the last incarnation's leaving. */
+START_TEST(a_new_incarnation_does_not_inherit_the_leaving)
+{
+	struct world world = world_create(1, 1);
+	struct policy_word word = {.incarnation = "i2"};
+	struct policy_upstream *upstream = world_upstream(&world, "s0-0");
+
+	json_object_set_new(world_listed(&world, "s0-0"), "leaving",
+			    json_true());
+	ck_assert_int_eq(world_publish_list(&world), 0);
+	policy_upstream_heard(world.fleet, upstream, &word);
+	ck_assert_int_eq(world_publish_list(&world), 0);
+	ck_assert(!upstream->leaving);
+	world_destroy(&world);
+}
+END_TEST
+
+static void set_out(struct world *world, const char *zone, bool out)
+{
+	json_t *zones = json_object_get(world->config, "zones");
+
+	json_object_set_new(json_object_get(zones, zone), "out",
+			    json_boolean(out));
+	world_publish_config(world);
+}
+
+START_TEST(a_zone_that_is_out_gets_no_new_work)
+{
+	struct world world = world_create(1, 2);
+	struct policy_upstream *chosen;
+
+	world_warm(&world);
+	ck_assert_str_eq(choose(&world)->zone, "a");
+	set_out(&world, "a", true);
+	chosen = choose(&world);
+	ck_assert_str_eq(chosen->zone, "b");
+	set_out(&world, "b", true);
+	ck_assert_ptr_null(choose(&world));
+	set_out(&world, "a", false);
+	ck_assert_str_eq(choose(&world)->zone, "a");
+	world_destroy(&world);
+}
+END_TEST
+
+START_TEST(work_in_flight_ends_well_in_a_zone_that_goes_out)
+{
+	struct world world = world_create(1, 1);
+	struct policy_upstream *upstream;
+
+	world_warm(&world);
+	upstream = choose(&world);
+	policy_upstream_begin(upstream);
+	set_out(&world, "a", true);
+	end_attempt(&world, upstream, POLICY_DONE);
+	ck_assert_uint_eq(upstream->inflight, 0);
+	ck_assert_ptr_null(choose(&world));
+	world_destroy(&world);
+}
+END_TEST
+
+START_TEST(the_own_zone_goes_first_and_spills_as_set)
+{
+	struct world world = world_create(1, 2);
+	struct policy_upstream *own;
+	enum policy_lack lack;
+
+	world_warm(&world);
+	own = world_upstream(&world, "s0-0");
+	for (guint i = 0; i < 50; i++)
+		ck_assert_ptr_eq(choose(&world), own);
+	own->inflight = 8;
+	ck_assert_str_eq(choose(&world)->zone, "b");
+	json_object_set_new(world_service_json(&world, "s"), "spill",
+			    json_false());
+	world_publish_config(&world);
+	ck_assert_ptr_null(policy_fleet_choose(world.fleet, world.service, "0",
+					       "s1", NULL, world.now_us,
+					       &lack));
+	ck_assert_int_eq(lack, POLICY_LACK_ROOM);
+	own->inflight = 0;
+	world_destroy(&world);
+}
+END_TEST
+
+/* ---- lists ---- */
+
+START_TEST(an_implausibly_shrunk_list_is_held_back)
+{
+	struct world world = world_create(4, 2);
+	json_t *all = json_incref(json_object_get(world.list, "upstreams"));
+
+	json_object_set_new(world.list, "upstreams", json_array());
+	ck_assert_int_eq(world_publish_list(&world), CS_E_RANGE);
+	ck_assert_ptr_nonnull(world_upstream(&world, "s3-1"));
+	json_object_set_new(world.config, "list_shrink_max", json_integer(1));
+	world_publish_config(&world);
+	ck_assert_int_eq(world_publish_list(&world), 0);
+	ck_assert_ptr_null(world_upstream(&world, "s3-1"));
+	json_decref(all);
+	world_destroy(&world);
+}
+END_TEST
+
+START_TEST(a_zone_that_is_out_may_vanish_from_the_list)
+{
+	struct world world = world_create(4, 2);
+	json_t *upstreams = json_object_get(world.list, "upstreams");
+
+	set_out(&world, "b", true);
+	for (size_t i = json_array_size(upstreams); i > 0; i--) {
+		json_t *zone = json_object_get(json_array_get(upstreams, i - 1),
+					       "zone");
+
+		if (!strcmp(json_string_value(zone), "b"))
+			json_array_remove(upstreams, i - 1);
+	}
+	ck_assert_int_eq(world_publish_list(&world), 0);
+	world_destroy(&world);
+}
+END_TEST
+
+START_TEST(a_list_never_goes_back)
+{
+	struct world world = world_create(1, 1);
+
+	ck_assert_int_eq(world_publish_list(&world), 0);
+	json_object_set_new(world.list, "revision", json_integer(1));
+	ck_assert_int_eq(world_publish_list(&world), CS_E_STALE);
+	json_object_set_new(world.list, "revision", json_integer(0));
+	ck_assert_int_eq(world_publish_list(&world), CS_E_STALE);
+	world_destroy(&world);
+}
+END_TEST
+
+/* An upstream that vanishes with work in flight is freed when that is over. */
+START_TEST(an_upstream_may_vanish_with_work_in_flight)
+{
+	struct world world = world_create(1, 2);
+	struct policy_upstream *upstream;
+
+	world_warm(&world);
+	upstream = choose(&world);
+	policy_upstream_begin(upstream);
+	json_array_remove(json_object_get(world.list, "upstreams"), 0);
+	ck_assert_int_eq(world_publish_list(&world), 0);
+	ck_assert(upstream->gone);
+	ck_assert_ptr_ne(choose(&world), upstream);
+	end_attempt(&world, upstream, POLICY_DONE);
+	ck_assert_ptr_null(world_upstream(&world, "s0-0"));
+	world_destroy(&world);
+}
+END_TEST
+
+/* ---- the choice ---- */
+
+START_TEST(the_faster_and_idler_of_two_is_chosen)
+{
+	struct world world = world_create(1, 2);
+	struct policy_upstream *a;
+	struct policy_upstream *b;
+
+	json_object_set_new(world_listed(&world, "s0-1"), "zone",
+			    json_string("a"));
+	ck_assert_int_eq(world_publish_list(&world), 0);
+	world_warm(&world);
+	a = world_upstream(&world, "s0-0");
+	b = world_upstream(&world, "s0-1");
+	a->latency_us = 1000;
+	b->latency_us = 5000;
+	ck_assert_ptr_eq(choose(&world), a);
+	a->inflight = 7;
+	ck_assert_ptr_eq(choose(&world), b);
+	a->inflight = 0;
+	world_destroy(&world);
+}
+END_TEST
+
+START_TEST(admission_is_bounded)
+{
+	struct world world = world_create(1, 1);
+
+	json_object_set_new(world_service_json(&world, "s"), "queue_max",
+			    json_integer(2));
+	world_publish_config(&world);
+	ck_assert_int_eq(policy_service_enter(world.service), 0);
+	ck_assert_int_eq(policy_service_enter(world.service), 0);
+	ck_assert_int_eq(policy_service_enter(world.service), CS_E_OVERLOAD);
+	policy_service_leave(world.service);
+	ck_assert_int_eq(policy_service_enter(world.service), 0);
+	world_destroy(&world);
+}
+END_TEST
+
+/* ---- configurations and members ---- */
+
+START_TEST(the_highest_revision_wins)
+{
+	static const struct {
+		gint64 number;
+		const char *digest;
+		int verdict;
+	} cases[] = {
+		{6, "x", 0},
+		{5, "a", 1},
+		{5, "b", CS_E_CONFLICT},
+		{4, "a", CS_E_STALE},
+		{4, "b", CS_E_STALE},
+		{0, "a", CS_E_STALE},
+	};
+	struct policy_revision held = {0};
+
+	ck_assert_int_eq(policy_revision_check(&held, 5, "a"), 0);
+	policy_revision_take(&held, 5, "a");
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++)
+		ck_assert_int_eq(policy_revision_check(&held, cases[i].number,
+						       cases[i].digest),
+				 cases[i].verdict);
+	policy_revision_clear(&held);
+}
+END_TEST
+
+START_TEST(replayed_beats_are_dropped)
+{
+	static const struct {
+		guint64 incarnation;
+		guint64 sequence;
+		gint64 after_us;
+		bool taken;
+	} cases[] = {
+		{10, 1, 0, true},  {10, 1, 0, false},  {10, 3, 0, true},
+		{10, 2, 0, false}, {9, 9, 0, false},   {11, 1, 0, true},
+		{10, 9, 0, false}, {9, 1, 2001, true}, /* the clock was set back
+							*/
+	};
+	struct policy_members *members = policy_members_create(2000);
+	gint64 now = 0;
+
+	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct policy_beat beat = {
+			"p", cases[i].incarnation, cases[i].sequence, false, 1,
+			1};
+
+		now += cases[i].after_us;
+		ck_assert_msg((policy_members_heard(members, &beat, now) !=
+			       NULL) == cases[i].taken,
+			      "case %u", i);
+	}
+	ck_assert_uint_eq(policy_members_alive(members, now), 1);
+	ck_assert_uint_eq(policy_members_alive(members, now + 2001), 0);
+	policy_members_forget(members, now + 50000);
+	ck_assert_uint_eq(policy_members_alive(members, now), 0);
+	policy_members_destroy(members);
+}
+END_TEST
+
+UNIT_MAIN("fleet", an_unknown_upstream_gets_nothing_before_it_is_owned,
+	  a_cold_upstream_gets_its_limit_and_no_more,
+	  good_answers_raise_the_limit_by_steps,
+	  any_trouble_while_warming_starts_over, a_warm_upstream_turns_cold,
+	  a_new_incarnation_is_cold_by_list_and_by_word,
+	  a_lagging_list_does_not_undo_the_upstreams_word,
+	  its_own_word_turns_an_upstream_cold, peers_tell_what_is_warm,
+	  a_peers_word_does_not_undo_a_relapse_at_once,
+	  refusals_cut_the_limit_and_answers_raise_it,
+	  an_upstream_that_went_away_is_left_alone_for_a_while,
+	  a_leaving_upstream_gets_no_new_work, an_upstream_may_stay_after_all,
+	  a_new_incarnation_does_not_inherit_the_leaving,
+	  a_zone_that_is_out_gets_no_new_work,
+	  work_in_flight_ends_well_in_a_zone_that_goes_out,
+	  the_own_zone_goes_first_and_spills_as_set,
+	  an_implausibly_shrunk_list_is_held_back,
+	  a_zone_that_is_out_may_vanish_from_the_list, a_list_never_goes_back,
+	  an_upstream_may_vanish_with_work_in_flight,
+	  the_faster_and_idler_of_two_is_chosen, admission_is_bounded,
+	  the_highest_revision_wins, replayed_beats_are_dropped)
