--- a/src/cuminsail/client.h
+++ b/src/cuminsail/client.h
@@ -14,6 +14,7 @@
 
 struct client {
 	bool json;
+	const char *record; /* file for a line of each exchange, or NULL */
 	GPtrArray *daemons; /* char *, "IP:port" of operators' pages */
 	GPtrArray *arguments; /* char *, after the subcommand */
 };
@@ -30,6 +31,9 @@
 enum client_exit client_config(const struct client *client);
 enum client_exit client_why(const struct client *client);
 
+/* load.c */
+enum client_exit client_load(const struct client *client);
+
 /* table.c: an array of objects as a table, columns in the order given. */
 void client_print_table(const json_t *array, const char *const *columns);
 void client_print_json(const json_t *value);
--- a/src/cuminsail/main.c
+++ b/src/cuminsail/main.c
@@ -19,6 +19,7 @@
 	{"diff", 2, client_diff},	    {"status", 0, client_status},
 	{"upstreams", 0, client_upstreams}, {"zones", 0, client_zones},
 	{"config", 0, client_config},	    {"why", 1, client_why},
+	{"load", 1, client_load},
 };
 
 struct arguments {
@@ -31,6 +32,7 @@
 	 "Operators' address of a daemon; may be given several times "
 	 "(default " DEFAULT_DAEMON ")",
 	 0},
+	{"record", 'r', "FILE", 0, "Write each exchange of a load to FILE", 0},
 	{"json", 'j', NULL, 0, "Print JSON", 0},
 	{0},
 };
@@ -77,6 +79,9 @@
 	case 'd':
 		g_ptr_array_add(arguments->client.daemons, value);
 		return 0;
+	case 'r':
+		arguments->client.record = value;
+		return 0;
 	case 'j':
 		arguments->client.json = true;
 		return 0;
@@ -95,7 +100,7 @@
 	.options = options,
 	.parser = parse_option,
 	.args_doc = "check DIR\nmerge DIR\ndiff DIR DIR\nstatus\nupstreams\n"
-		    "zones\nconfig\nwhy REQUEST-ID",
+		    "zones\nconfig\nwhy REQUEST-ID\nload PLAN",
 	.doc = "Check configurations and ask daemons.\v"
 	       "Exit codes: 0 good; 1 the answer is no (invalid, different, "
 	       "a daemon lags, not found); 2 usage; 3 a daemon could not be "
--- /dev/null
+++ b/test/faults.jq
@@ -0,0 +1,34 @@
+# Judge the record of a load. Input: an array of exchanges. Arguments: $runs,
+# runs of each request id over all upstreams; $sizes, documents of each shard;
+# $best, the hits of a brute-force search by snapshot and text. Output: one
+# string for each breach.
+def subset_sums: reduce .[] as $n ([0]; . + map(. + $n)) | unique;
+
+def orders:
+	.ticket as $ticket | ($ticket / "~")[3] as $nonce
+	| ($runs[$nonce] // 0) as $n
+	| (if $n > 1 then "order \($nonce) ran \($n) times" else empty end),
+	  (if (.said | index("answered")) and $n != 1
+	   then "order \($nonce) answered, ran \($n) times" else empty end),
+	  (if (.said | index("not-run")) and $n != 0
+	   then "order \($nonce) not-run, ran \($n) times" else empty end);
+
+def queries:
+	.answer as $a | .text as $text
+	| if $a.outcome == "answered" then
+		(if any($a.hits[]; .fields.snapshot != $a.snapshot)
+		 then "\($a.request_id): hits of another snapshot" else empty end),
+		(if $a.coverage.documents != ($sizes | add)
+		 then "\($a.request_id): wrong denominator" else empty end),
+		(if ($a.coverage.documents_answered | IN(($sizes | subset_sums)[])
+		     or $half) | not
+		 then "\($a.request_id): impossible coverage \($a.coverage)" else empty end),
+		(if $a.coverage.complete and ($a.hits | map(.id)) != $best[$a.snapshot][$text]
+		 then "\($a.request_id): complete, but other hits than brute force" else empty end),
+		(if ($a.hits | map(.id) | unique | length) != ($a.hits | length)
+		 then "\($a.request_id): a doubled hit" else empty end)
+	  elif $a.outcome == "not-run" and ($runs[$a.request_id] // 0) > 0
+	  then "\($a.request_id): not-run, but ran"
+	  else empty end;
+
+[.[] | if .ticket then orders else queries end]
--- a/test/standin/brute.c
+++ b/test/standin/brute.c
@@ -1,32 +1,47 @@
 /*
  * standin-brute SNAPSHOT TEXT LIMIT: search the whole catalogue without shards
  * and compare with the answer on standard input. Exit 0 if they are the same.
+ * With --print before them, print the ids of the best hits instead.
  */
 #include "catalogue.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 
+static int print_ids(const GArray *hits)
+{
+	for (guint i = 0; i < hits->len; i++)
+		printf("%c\"%s\"", i ? ',' : '[',
+		       g_array_index(hits, struct hit, i).document->id);
+	puts("]");
+	return 0;
+}
+
+static int compare(const GArray *hits, guint searched)
+{
+	json_t *answer = json_loadf(stdin, 0, NULL);
+	json_t *expected = catalogue_print_hits(hits);
+	bool same = json_equal(expected, json_object_get(answer, "hits"));
+
+	printf("brute force over %u documents: %s\n", searched,
+	       same ? "the same hits" : "OTHER HITS");
+	json_decref(expected);
+	json_decref(answer);
+	return same ? 0 : 1;
+}
+
 int main(int argc, char **argv)
 {
 	g_autoptr(GPtrArray) documents = NULL;
 	g_autoptr(GArray) hits = NULL;
-	json_t *answer;
-	json_t *expected;
+	bool print = argc > 1 && !g_strcmp0(argv[1], "--print");
 	guint searched;
-	bool same;
 
-	if (argc != 4)
+	argv += print;
+	if (argc - print != 4)
 		return 2;
 	documents = catalogue_create(argv[1]);
 	hits = catalogue_search(documents, 0, 1, argv[2],
 				(guint)strtoul(argv[3], NULL, 10), &searched);
-	expected = catalogue_print_hits(hits);
-	answer = json_loadf(stdin, 0, NULL);
-	same = json_equal(expected, json_object_get(answer, "hits"));
-	printf("brute force over %u documents: %s\n", searched,
-	       same ? "the same hits" : "OTHER HITS");
-	json_decref(expected);
-	json_decref(answer);
-	return same ? 0 : 1;
+	return print ? print_ids(hits) : compare(hits, searched);
 }
