Faults over real processes: four breaches found and mended

SIGTERM under load cut 45 requests. Cause: the library's disconnect closes callers' connections with the listening sockets, and paused exchanges never end. Ruled out: the drain time (45 with 500 ms and 3 s of load) and the stop limit (10 s passed in full). Now new requests are refused as not run while the open ones end; the sockets close with the process. A daemon started while the platform was down said ready before it knew what is warm: its list came from a peer after that peer's beat. Ready now wants a beat that followed the list, or 2 s. An upstream that said it leaves still got work 1500 ms later, from a daemon that had not asked it yet. Beats now tell of leaving upstreams; hearsay holds 2 s and is not passed on, so that it cannot go round for ever. The stand-in did not see a closed connection while it worked, so that the cancel check was red; the daemon was right. The stand-in looks now.

--- a/include/cuminsail/caller.h
+++ b/include/cuminsail/caller.h
@@ -63,12 +63,6 @@
  */
 void caller_server_drain(struct caller_server *server);
 
-/**
- * caller_server_stop - take no further connections
- * @server: a server
- */
-void caller_server_stop(struct caller_server *server);
-
 /**
  * caller_server_open - requests being read, worked on or replied to
  * @server: a server
--- a/include/cuminsail/engine.h
+++ b/include/cuminsail/engine.h
@@ -38,9 +38,9 @@
  * @engine: an engine
  *
  * The first call makes the daemon not ready and tells its peers; after the
- * drain time it takes no connections, and when no request is open, or at the
- * stop limit, @stopped is called. The second call ends it at once. What was
- * cut is logged.
+ * drain time it refuses new requests as not run, and when no request is open,
+ * or at the stop limit, @stopped is called. The second call ends it at once.
+ * What was cut is logged.
  */
 void engine_stop(struct engine *engine);
 
--- a/include/cuminsail/peer.h
+++ b/include/cuminsail/peer.h
@@ -20,8 +20,8 @@
 	PEER_RESULT = 5,
 };
 
-/** An upstream that the sender saw answer as warm. */
-struct peer_warm {
+/** An upstream that a beat tells of. */
+struct peer_upstream {
 	const char *id;
 	const char *incarnation;
 };
@@ -37,8 +37,12 @@
 			bool leaving;
 			gint64 config_revision;
 			gint64 list_revision;
-			const struct peer_warm *warm;
+			/* Those that answered the sender as warm. */
+			const struct peer_upstream *warm;
 			gsize n_warm;
+			/* Those that the sender knows to be leaving. */
+			const struct peer_upstream *leaving_upstreams;
+			gsize n_leaving;
 		} beat;
 		struct {
 			gint64 revision;
--- a/include/cuminsail/policy_fleet.h
+++ b/include/cuminsail/policy_fleet.h
@@ -57,6 +57,7 @@
 	guint fail_run; /* failures in a row */
 	gint64 suspended_us; /* no attempt before this time */
 	gint64 good_us; /* last good answer while warm, or 0 */
+	gint64 peer_leaving_us; /* until then a peer's word says leaving */
 	gint64 relapsed_us; /* last turn to cold, or 0 */
 	double latency_us; /* moving average */
 	GHashTable *snapshots; /* char * held, by the list or its answers */
@@ -269,6 +270,16 @@
 void policy_fleet_peer_warm(struct policy_fleet *fleet, const char *id,
 			    const char *incarnation, gint64 now_us);
 
+/**
+ * policy_fleet_peer_leaving - a peer knows an upstream to be leaving
+ * @fleet: a fleet
+ * @id: the upstream's id
+ * @incarnation: the incarnation that leaves; another one is not touched
+ * @now_us: the clock; the word holds for 2 s unless it is repeated
+ */
+void policy_fleet_peer_leaving(struct policy_fleet *fleet, const char *id,
+			       const char *incarnation, gint64 now_us);
+
 /**
  * policy_upstream_warm_lately - whether peers should be told that it is warm
  * @upstream: an upstream
--- a/src/libcaller/server.c
+++ b/src/libcaller/server.c
@@ -371,11 +371,6 @@
 	server->draining = true;
 }
 
-void caller_server_stop(struct caller_server *server)
-{
-	soup_server_disconnect(server->soup);
-}
-
 guint caller_server_open(const struct caller_server *server)
 {
 	return server->open;
--- a/src/libengine/engine.c
+++ b/src/libengine/engine.c
@@ -12,7 +12,7 @@
 /* A beat this late means that the process slept. */
 #define ASLEEP_US (1 * CS_US_PER_S)
 
-/* Longest wait for peers before a starting daemon is ready without them. */
+/* Longest wait for peers after the first list; then ready without them. */
 #define HEAR_PEERS_US (2 * CS_US_PER_S)
 
 /* How often a stopping daemon looks whether all is done. */
@@ -40,16 +40,13 @@
 
 bool engine_ready(struct engine *engine)
 {
-	gint64 now = engine_now(engine);
-
 	if (engine->phase != ENGINE_SERVING ||
 	    !policy_fleet_config(engine->fleet) ||
 	    !policy_fleet_list(engine->fleet))
 		return false;
-	if (policy_members_alive(engine->members, now) >=
-	    engine->settings->ready_peers)
+	if (engine->beats_heard >= engine->settings->ready_peers)
 		return true;
-	return now - engine->started_us >= HEAR_PEERS_US;
+	return engine_now(engine) - engine->list_taken_us >= HEAR_PEERS_US;
 }
 
 static bool is_ready(void *user)
@@ -191,10 +188,8 @@
 	gint64 now = engine_now(engine);
 	bool busy = count_open(engine) || engine_has_orders(engine);
 
-	if (engine->phase == ENGINE_DRAINING) {
+	if (engine->phase == ENGINE_DRAINING)
 		engine->phase = ENGINE_STOPPING;
-		caller_server_stop(engine->caller);
-	}
 	if (busy && now < engine->stop_by_us)
 		cs_timer_arm(engine->clock, timer, now + STOP_LOOK_US);
 	else
@@ -281,7 +276,6 @@
 	engine->history = history_create(settings->history);
 	engine->pushed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	engine->started_us = engine_now(engine);
 	engine->beat.fire = on_beat;
 	engine->stop.fire = on_stop;
 	TAILQ_INIT(&engine->queries);
@@ -311,7 +305,7 @@
 	engine->orders = create_orders(engine);
 	engine->platform = platform_create(clock, settings, engine->counters,
 					   &platform_hooks);
-	cs_timer_arm(clock, &engine->beat, engine->started_us + BEAT_US);
+	cs_timer_arm(clock, &engine->beat, cs_clock_now(clock) + BEAT_US);
 	cs_log(LOG_NOTICE, "started", "instance", settings->instance, "zone",
 	       settings->zone, NULL);
 	return engine;
--- a/src/libengine/internal.h
+++ b/src/libengine/internal.h
@@ -16,7 +16,7 @@
 enum engine_phase {
 	ENGINE_SERVING,
 	ENGINE_DRAINING, /* not ready, still serving */
-	ENGINE_STOPPING, /* no new connections */
+	ENGINE_STOPPING, /* new requests are refused as not run */
 	ENGINE_STOPPED,
 };
 
@@ -49,7 +49,8 @@
 	guint64 last_tag;
 	bool poking;
 	enum engine_phase phase;
-	gint64 started_us;
+	gint64 list_taken_us; /* when the first list was taken; 0 before */
+	guint beats_heard; /* since then */
 	struct cs_timer beat;
 	struct cs_timer stop;
 	gint64 stop_by_us;
--- a/src/libengine/spread.c
+++ b/src/libengine/spread.c
@@ -170,6 +170,8 @@
 	if (error)
 		return false;
 	engine->list_asked_us = asked_us;
+	if (!engine->list_taken_us)
+		engine->list_taken_us = engine_now(engine);
 	g_free(engine->list_text);
 	engine->list_text = cs_json_print(document);
 	peer_links_set_daemons(engine->links,
@@ -188,28 +190,34 @@
 
 /* ---- peers ---- */
 
-struct warm_scan {
-	GArray *warm; /* struct peer_warm */
+/* What a beat tells of upstreams. */
+struct beat_scan {
+	GArray *warm; /* struct peer_upstream */
+	GArray *leaving; /* struct peer_upstream */
 	gint64 now_us;
 };
 
-static void add_warm(struct policy_upstream *upstream, void *user)
+static void add_upstream(struct policy_upstream *upstream, void *user)
 {
-	struct warm_scan *scan = user;
-	struct peer_warm warm = {
+	struct beat_scan *scan = user;
+	struct peer_upstream told = {
 		.id = upstream->id,
 		.incarnation = upstream->incarnation,
 	};
 
-	if (policy_upstream_warm_lately(upstream, scan->now_us))
-		g_array_append_val(scan->warm, warm);
+	if (upstream->leaving)
+		g_array_append_val(scan->leaving, told);
+	else if (policy_upstream_warm_lately(upstream, scan->now_us))
+		g_array_append_val(scan->warm, told);
 }
 
 void engine_send_beat(struct engine *engine)
 {
 	const struct list *list = policy_fleet_list(engine->fleet);
-	struct warm_scan scan = {
-		.warm = g_array_new(FALSE, FALSE, sizeof(struct peer_warm)),
+	struct beat_scan scan = {
+		.warm = g_array_new(FALSE, FALSE, sizeof(struct peer_upstream)),
+		.leaving =
+			g_array_new(FALSE, FALSE, sizeof(struct peer_upstream)),
 		.now_us = engine_now(engine),
 	};
 	struct peer_frame frame = {
@@ -223,10 +231,14 @@
 			},
 	};
 
-	policy_fleet_each(engine->fleet, add_warm, &scan);
-	frame.beat.warm = (const struct peer_warm *)scan.warm->data;
+	policy_fleet_each(engine->fleet, add_upstream, &scan);
+	frame.beat.warm = (const struct peer_upstream *)scan.warm->data;
 	frame.beat.n_warm = scan.warm->len;
+	frame.beat.leaving_upstreams =
+		(const struct peer_upstream *)scan.leaving->data;
+	frame.beat.n_leaving = scan.leaving->len;
 	peer_links_send_all(engine->links, &frame);
+	g_array_unref(scan.leaving);
 	g_array_unref(scan.warm);
 }
 
@@ -307,6 +319,12 @@
 	for (gsize i = 0; i < frame->beat.n_warm; i++)
 		policy_fleet_peer_warm(engine->fleet, frame->beat.warm[i].id,
 				       frame->beat.warm[i].incarnation, now);
+	for (gsize i = 0; i < frame->beat.n_leaving; i++)
+		policy_fleet_peer_leaving(
+			engine->fleet, frame->beat.leaving_upstreams[i].id,
+			frame->beat.leaving_upstreams[i].incarnation, now);
+	if (engine->list_taken_us)
+		engine->beats_heard++;
 	push_newer(engine, frame);
 }
 
--- a/src/libpeer/frame.c
+++ b/src/libpeer/frame.c
@@ -10,7 +10,7 @@
 /* version, kind, sender, incarnation, sequence, payload */
 #define FRAME_TYPE "(yysttv)"
 
-#define BEAT_TYPE   "(bxxa(ss))"
+#define BEAT_TYPE   "(bxxa(ss)a(ss))"
 #define CONFIG_TYPE "(xs)"
 #define LIST_TYPE   "(xs)"
 #define ORDER_TYPE  "(tsssx)"
@@ -19,20 +19,29 @@
 /* Largest frame: a document, escaped, and its head. */
 #define FRAME_MAX (2 * CONFIG_DOCUMENT_MAX)
 
-/* Most upstreams that one beat tells of. */
-#define WARM_MAX 20000
+/* Most upstreams that each part of a beat tells of. */
+#define UPSTREAMS_MAX 20000
+
+static GVariant *encode_upstreams(const struct peer_upstream *upstreams,
+				  gsize count)
+{
+	GVariantBuilder builder;
+
+	g_variant_builder_init(&builder, G_VARIANT_TYPE("a(ss)"));
+	for (gsize i = 0; i < count; i++)
+		g_variant_builder_add(&builder, "(ss)", upstreams[i].id,
+				      upstreams[i].incarnation);
+	return g_variant_builder_end(&builder);
+}
 
 static GVariant *encode_beat(const struct peer_frame *frame)
 {
-	GVariantBuilder warm;
-
-	g_variant_builder_init(&warm, G_VARIANT_TYPE("a(ss)"));
-	for (gsize i = 0; i < frame->beat.n_warm; i++)
-		g_variant_builder_add(&warm, "(ss)", frame->beat.warm[i].id,
-				      frame->beat.warm[i].incarnation);
-	return g_variant_new(BEAT_TYPE, frame->beat.leaving,
-			     frame->beat.config_revision,
-			     frame->beat.list_revision, &warm);
+	return g_variant_new(
+		"(bxx@a(ss)@a(ss))", frame->beat.leaving,
+		frame->beat.config_revision, frame->beat.list_revision,
+		encode_upstreams(frame->beat.warm, frame->beat.n_warm),
+		encode_upstreams(frame->beat.leaving_upstreams,
+				 frame->beat.n_leaving));
 }
 
 static GVariant *encode_payload(const struct peer_frame *frame)
@@ -68,16 +77,16 @@
 	return g_variant_get_data_as_bytes(value);
 }
 
-static struct peer_warm *decode_warm(GVariant *array, gsize *n_warm)
+static struct peer_upstream *decode_upstreams(GVariant *array, gsize *count)
 {
-	struct peer_warm *warm;
-
-	*n_warm = MIN(g_variant_n_children(array), WARM_MAX);
-	warm = g_new0(struct peer_warm, *n_warm + 1);
-	for (gsize i = 0; i < *n_warm; i++)
-		g_variant_get_child(array, i, "(&s&s)", &warm[i].id,
-				    &warm[i].incarnation);
-	return warm;
+	struct peer_upstream *upstreams;
+
+	*count = MIN(g_variant_n_children(array), UPSTREAMS_MAX);
+	upstreams = g_new0(struct peer_upstream, *count + 1);
+	for (gsize i = 0; i < *count; i++)
+		g_variant_get_child(array, i, "(&s&s)", &upstreams[i].id,
+				    &upstreams[i].incarnation);
+	return upstreams;
 }
 
 static const char *payload_type(guchar kind)
@@ -129,16 +138,20 @@
 				     void *user),
 		       void *user)
 {
-	g_autoptr(GVariant) array = NULL;
-	g_autofree struct peer_warm *warm = NULL;
-	gboolean leaving;
+	g_autoptr(GVariant) warm_array = NULL;
+	g_autoptr(GVariant) leaving_array = NULL;
+	g_autofree struct peer_upstream *warm = NULL;
+	g_autofree struct peer_upstream *leaving = NULL;
+	gboolean sender_leaving;
 
-	g_variant_get(payload, "(bxx@a(ss))", &leaving,
+	g_variant_get(payload, "(bxx@a(ss)@a(ss))", &sender_leaving,
 		      &frame->beat.config_revision, &frame->beat.list_revision,
-		      &array);
-	warm = decode_warm(array, &frame->beat.n_warm);
-	frame->beat.leaving = leaving;
+		      &warm_array, &leaving_array);
+	warm = decode_upstreams(warm_array, &frame->beat.n_warm);
+	leaving = decode_upstreams(leaving_array, &frame->beat.n_leaving);
+	frame->beat.leaving = sender_leaving;
 	frame->beat.warm = warm;
+	frame->beat.leaving_upstreams = leaving;
 	visit(frame, user);
 }
 
--- a/src/libpolicy/choose.c
+++ b/src/libpolicy/choose.c
@@ -21,6 +21,8 @@
 {
 	if (upstream->leaving || upstream->gone || is_out(fleet, upstream))
 		return false;
+	if (now_us < upstream->peer_leaving_us)
+		return false;
 	if (upstream->phase == POLICY_WARM)
 		return true;
 	return policy_views_owns(fleet->views, upstream->id, upstream->zone,
--- a/src/libpolicy/fleet.c
+++ b/src/libpolicy/fleet.c
@@ -6,6 +6,9 @@
 
 #include <string.h>
 
+/* How long a peer's word that an upstream leaves holds. */
+#define PEER_LEAVING_US (2 * CS_US_PER_S)
+
 /* How long this daemon's own finding "cold" outranks a peer's "warm". */
 #define OWN_WORD_US CS_US_PER_S
 
@@ -200,6 +203,7 @@
 	g_free(upstream->incarnation);
 	upstream->incarnation = g_strdup(incarnation);
 	upstream->leaving = false;
+	upstream->peer_leaving_us = 0;
 	upstream->suspended_us = 0;
 	upstream->fail_run = 0;
 	upstream->good_us = 0;
@@ -392,3 +396,13 @@
 	upstream_set_phase(upstream, POLICY_WARM, fleet->daemons_max);
 	upstream->limit = 1;
 }
+
+void policy_fleet_peer_leaving(struct policy_fleet *fleet, const char *id,
+			       const char *incarnation, gint64 now_us)
+{
+	struct policy_upstream *upstream =
+		g_hash_table_lookup(fleet->upstreams, id);
+
+	if (upstream && !strcmp(upstream->incarnation, incarnation))
+		upstream->peer_leaving_us = now_us + PEER_LEAVING_US;
+}
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -16,6 +16,7 @@
 #include <libsoup/soup.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define SLOW_FACTOR 40
 #define HUGE_BYTES  (4 * 1024 * 1024)
@@ -215,6 +216,15 @@
 
 static void start_next(void);
 
+static bool has_closed(SoupServerMessage *message)
+{
+	GSocket *socket = soup_server_message_get_socket(message);
+	char byte;
+
+	return !socket || recv(g_socket_get_fd(socket), &byte, 1,
+			       MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static gboolean on_worked(gpointer user)
 {
 	struct request *request = user;
@@ -222,8 +232,9 @@
 	running--;
 	served++;
 	note_run(request);
-	if (request->gone) {
+	if (request->gone || has_closed(request->message)) {
 		cancelled++;
+		soup_server_message_unpause(request->message);
 	} else if (is_fault("reset-after-run")) {
 		cut(request->message);
 		soup_server_message_unpause(request->message);
--- a/test/unit/test_fleet.c
+++ b/test/unit/test_fleet.c
@@ -290,6 +290,24 @@
 }
 END_TEST
 
+START_TEST(peers_tell_what_is_leaving)
+{
+	struct world world = world_create(1, 1);
+
+	world_warm(&world);
+	policy_fleet_peer_leaving(world.fleet, "s0-0", "i0", world.now_us);
+	policy_fleet_peer_leaving(world.fleet, "no such", "i1", world.now_us);
+	ck_assert_ptr_nonnull(choose(&world));
+	policy_fleet_peer_leaving(world.fleet, "s0-0", "i1", world.now_us);
+	ck_assert_ptr_null(choose(&world));
+	/* Hearsay is not passed on, and ends when it is no longer repeated. */
+	ck_assert(!world_upstream(&world, "s0-0")->leaving);
+	world_pass(&world, 2001 * MS);
+	ck_assert_ptr_nonnull(choose(&world));
+	world_destroy(&world);
+}
+END_TEST
+
 START_TEST(an_upstream_may_stay_after_all)
 {
 	struct world world = world_create(1, 1);
@@ -571,7 +589,8 @@
 	  a_peers_word_does_not_undo_a_relapse_at_once,
 	  refusals_cut_the_limit_and_answers_raise_it,
 	  an_upstream_that_went_away_is_left_alone_for_a_while,
-	  a_leaving_upstream_gets_no_new_work, an_upstream_may_stay_after_all,
+	  a_leaving_upstream_gets_no_new_work, peers_tell_what_is_leaving,
+	  an_upstream_may_stay_after_all,
 	  a_new_incarnation_does_not_inherit_the_leaving,
 	  a_zone_that_is_out_gets_no_new_work,
 	  work_in_flight_ends_well_in_a_zone_that_goes_out,
--- a/test/unit/test_input.c
+++ b/test/unit/test_input.c
@@ -24,13 +24,13 @@
 
 static GBytes *beat_bytes(void)
 {
-	static const struct peer_warm warm[] = {{"u1", "i1"}, {"u2", "i2"}};
+	static const struct peer_upstream warm[] = {{"u1", "i1"}, {"u2", "i2"}};
 	struct peer_frame frame = {
 		.kind = PEER_BEAT,
 		.sender = "entry-1",
 		.incarnation = 7,
 		.sequence = 9,
-		.beat = {true, 11, 13, warm, 2},
+		.beat = {true, 11, 13, warm, 2, warm, 1},
 	};
 
 	return peer_frame_encode(&frame);
@@ -50,6 +50,7 @@
 	ck_assert_int_eq(seen.beat.config_revision, 11);
 	ck_assert_int_eq(seen.beat.list_revision, 13);
 	ck_assert_uint_eq(seen.beat.n_warm, 2);
+	ck_assert_uint_eq(seen.beat.n_leaving, 1);
 }
 END_TEST
 
