--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -42,6 +42,13 @@
 	curl -sf "http://127.0.0.1:$1/ready"
 }
 
+# The fleet's key pair, made afresh for each run.
+make_keys() {
+	_pair=$("$BIN/src/cuminsail" keys)
+	PUBLIC_KEY=$(echo "$_pair" | jq .public_key)
+	SECRET_KEY=$(echo "$_pair" | jq .secret_key)
+}
+
 # settings ID ZONE BASE PLATFORM-PORT PEER-ID PEER-BASE: one daemon's settings.
 # BASE is the caller port; +1 operators, +2 peers.
 settings() {
@@ -53,8 +60,8 @@
 	"platform": {"address": "127.0.0.1", "port": $4},
 	"peer": {
 		"address": "127.0.0.1", "port": $(($3 + 2)),
-		"public_key": "Yne@\$w-vo<fVvi]a<NY6T1ed:M\$fCG*[IaLV{hID",
-		"secret_key": "D:)Q[IlAW!ahhC2ac:9*A}h:p?([4%wOTJ%JR%cs",
+		"public_key": $PUBLIC_KEY,
+		"secret_key": $SECRET_KEY,
 		"peers": [{"id": "$5", "address": "127.0.0.1", "port": $(($6 + 2))}]
 	},
 	"limits": {"drain_ms": 500, "stop_ms": 10000, "ready_peers": 1,
--- a/src/cuminsail/client.h
+++ b/src/cuminsail/client.h
@@ -31,6 +31,9 @@
 enum client_exit client_config(const struct client *client);
 enum client_exit client_why(const struct client *client);
 
+/* keys.c */
+enum client_exit client_keys(const struct client *client);
+
 /* load.c */
 enum client_exit client_load(const struct client *client);
 
