--- a/include/cuminsail/config.h
+++ b/include/cuminsail/config.h
@@ -76,6 +76,12 @@
 	CONFIG_ORDER,
 };
 
+/** How one of several upstreams is chosen. */
+enum config_choice {
+	CONFIG_BETTER_OF_TWO, /* of two by chance, the idler and faster */
+	CONFIG_ROUND_ROBIN, /* each in turn, whatever its zone and state */
+};
+
 /** An availability zone. */
 struct config_zone {
 	char *name;
@@ -87,6 +93,7 @@
 struct config_service {
 	char *name;
 	enum config_kind kind;
+	enum config_choice choice;
 	gint64 slots; /* requests one upstream runs at once */
 	gint64 connections; /* connections one upstream takes in all */
 	gint64 cold_limit; /* requests a cold upstream bears, all daemons */
--- a/include/cuminsail/policy_fleet.h
+++ b/include/cuminsail/policy_fleet.h
@@ -51,6 +51,7 @@
 	bool leaving; /* by the list or by its own word */
 	bool listed_leaving; /* in the last list */
 	bool gone; /* no longer listed; freed when idle */
+	guint64 turn; /* of the last choice by turns */
 	guint inflight; /* attempts open from this daemon */
 	double limit; /* attempts this daemon may have open */
 	guint good_run; /* good answers since the last step */
--- a/src/libconfig/config.c
+++ b/src/libconfig/config.c
@@ -47,12 +47,14 @@
 struct raw_service {
 	struct config_service base;
 	char *kind;
+	char *choice;
 };
 
 #define SERVICE(member) offsetof(struct raw_service, base.member)
 
 static const struct cs_field service_fields[] = {
 	{"kind", CS_FIELD_STRING, AT(raw_service, kind), true, 1, 16},
+	{"choice", CS_FIELD_STRING, AT(raw_service, choice), false, 1, 32},
 	{"slots", CS_FIELD_INT, SERVICE(slots), true, 1, 10000},
 	{"connections", CS_FIELD_INT, SERVICE(connections), true, 1, COUNT_MAX},
 	{"cold_limit", CS_FIELD_INT, SERVICE(cold_limit), false, 1, 10000},
@@ -97,6 +99,17 @@
 		cs_why(why, "%s.kind: must be \"query\" or \"order\"", path);
 		return CS_E_RANGE;
 	}
+	if (!raw->choice || !strcmp(raw->choice, "better-of-two")) {
+		service->choice = CONFIG_BETTER_OF_TWO;
+	} else if (!strcmp(raw->choice, "round-robin")) {
+		service->choice = CONFIG_ROUND_ROBIN;
+	} else {
+		cs_why(why,
+		       "%s.choice: must be \"better-of-two\" or "
+		       "\"round-robin\"",
+		       path);
+		return CS_E_RANGE;
+	}
 	if (service->cold_limit > service->slots) {
 		cs_why(why, "%s.cold_limit: above slots", path);
 		return CS_E_RANGE;
@@ -121,6 +134,7 @@
 	if (!error)
 		error = check_service(&raw, path, why);
 	g_free(raw.kind);
+	g_free(raw.choice);
 	if (error)
 		return error;
 	raw.base.name = g_strdup(name);
--- a/src/libpolicy/choose.c
+++ b/src/libpolicy/choose.c
@@ -107,6 +107,46 @@
 	return better(set->warm[0], set->warm[1]);
 }
 
+/* The least recently chosen of all that have room. */
+static void offer_turn(struct candidates *set, struct policy_upstream *upstream,
+		       gint64 now_us)
+{
+	set->holder = true;
+	if (!has_room(upstream, now_us))
+		return;
+	if (!set->n_warm || upstream->turn < set->warm[0]->turn)
+		set->warm[0] = upstream;
+	set->n_warm = 1;
+}
+
+static struct policy_upstream *take_turn(struct policy_service *service,
+					 const struct candidates *set)
+{
+	if (!set->n_warm)
+		return NULL;
+	set->warm[0]->turn = ++service->turns;
+	return set->warm[0];
+}
+
+static struct policy_upstream *pick_by(struct policy_fleet *fleet,
+				       struct policy_service *service,
+				       const struct candidates *own,
+				       const struct candidates *other)
+{
+	struct policy_upstream *found;
+
+	switch (service->config->choice) {
+	case CONFIG_BETTER_OF_TWO:
+		found = pick(fleet, own);
+		if (!found && (service->config->spill || !own->holder))
+			found = pick(fleet, other);
+		return found;
+	case CONFIG_ROUND_ROBIN:
+		return take_turn(service, own);
+	}
+	return NULL;
+}
+
 struct policy_upstream *policy_fleet_choose(
 	struct policy_fleet *fleet, struct policy_service *service,
 	const char *shard, const char *snapshot, const GPtrArray *tried,
@@ -126,11 +166,16 @@
 		    !upstream_holds(upstream, snapshot, now_us) ||
 		    !may_ask(fleet, upstream, now_us))
 			continue;
-		offer(fleet, near ? &own : &other, upstream, now_us);
+		switch (service->config->choice) {
+		case CONFIG_BETTER_OF_TWO:
+			offer(fleet, near ? &own : &other, upstream, now_us);
+			break;
+		case CONFIG_ROUND_ROBIN:
+			offer_turn(&own, upstream, now_us);
+			break;
+		}
 	}
-	found = pick(fleet, &own);
-	if (!found && (service->config->spill || !own.holder))
-		found = pick(fleet, &other);
+	found = pick_by(fleet, service, &own, &other);
 	*lack = POLICY_LACK_NONE;
 	if (!found)
 		*lack = own.holder || other.holder ? POLICY_LACK_ROOM
--- a/src/libpolicy/service.h
+++ b/src/libpolicy/service.h
@@ -14,6 +14,7 @@
 	const struct config_service *config; /* NULL when not configured */
 	struct upstream_head upstreams;
 	guint in_progress;
+	guint64 turns; /* choices by turns so far */
 	double tokens;
 	guint samples;
 	gint64 ring_us[LATENCY_RING];
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -4,22 +4,26 @@
  *
  * Keys: slots=N requests run at once (4); queue=N that wait for a slot (8);
  * work_ms=N time of one request (2); cold=N good answers until warm (0);
- * cold_limit=N concurrent requests borne while cold (1); map=N (1).
+ * cold_limit=N concurrent requests borne while cold (1); map=N (1); spread=1
+ * draws the work time from an exponential distribution of mean work_ms;
+ * connect_ms=N passes before the first request of a connection is taken.
  *
  * PUT /control/fault/NAME sets a fault for all further requests, GET /log
  * tells what ran. Faults: none hang reset reset-after-run truncate garbage
  * wrong-id wrong-shard wrong-snapshot over-count half refuse refuse-unproven
- * huge slow drain.
+ * huge slow straggle drain.
  */
 #include "catalogue.h"
 
 #include <libsoup/soup.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
-#define SLOW_FACTOR 40
-#define HUGE_BYTES  (4 * 1024 * 1024)
+#define SLOW_FACTOR	40
+#define STRAGGLE_FACTOR 10
+#define HUGE_BYTES	(4 * 1024 * 1024)
 
 struct snapshot {
 	char *name;
@@ -37,6 +41,8 @@
 	guint cold;
 	guint cold_limit;
 	gint64 map;
+	guint spread;
+	guint connect_ms;
 } own = {.slots = 4, .queue = 8, .work_ms = 2, .cold_limit = 1, .map = 1};
 
 static GPtrArray *snapshots;
@@ -254,6 +260,10 @@
 	request->started = true;
 	if (served < own.cold)
 		cold_peak = MAX(cold_peak, running);
+	if (own.spread)
+		work_ms = (guint)(-log(1 - g_random_double()) * work_ms + 0.5);
+	if (is_fault("straggle"))
+		work_ms *= STRAGGLE_FACTOR;
 	if (is_fault("slow"))
 		work_ms *= SLOW_FACTOR;
 	if (served < own.cold && running > own.cold_limit)
@@ -295,6 +305,31 @@
 	return true;
 }
 
+static void take_or_queue(struct request *request)
+{
+	if (running < own.slots)
+		start(request);
+	else
+		g_queue_push_tail(waiting, request);
+}
+
+static gboolean on_connected(gpointer user)
+{
+	take_or_queue(user);
+	return G_SOURCE_REMOVE;
+}
+
+/* Whether this is the first request of its connection. */
+static bool is_new_connection(SoupServerMessage *message)
+{
+	GSocket *socket = soup_server_message_get_socket(message);
+
+	if (!socket || g_object_get_data(G_OBJECT(socket), "seen"))
+		return false;
+	g_object_set_data(G_OBJECT(socket), "seen", (gpointer) "yes");
+	return true;
+}
+
 static void take(SoupServerMessage *message, json_t *body, bool is_order)
 {
 	struct request *request = g_new0(struct request, 1);
@@ -316,10 +351,10 @@
 	soup_server_message_pause(message);
 	if (is_fault("hang"))
 		return;
-	if (running < own.slots)
-		start(request);
+	if (own.connect_ms && is_new_connection(message))
+		g_timeout_add(own.connect_ms, on_connected, request);
 	else
-		g_queue_push_tail(waiting, request);
+		take_or_queue(request);
 }
 
 static void on_work(SoupServer *server, SoupServerMessage *message,
@@ -376,6 +411,10 @@
 		own.cold = (guint)value;
 	else if (g_str_has_prefix(text, "cold_limit="))
 		own.cold_limit = (guint)value;
+	else if (g_str_has_prefix(text, "spread="))
+		own.spread = (guint)value;
+	else if (g_str_has_prefix(text, "connect_ms="))
+		own.connect_ms = (guint)value;
 	else if (g_str_has_prefix(text, "map="))
 		own.map = value;
 	else
--- a/test/unit/test_fleet.c
+++ b/test/unit/test_fleet.c
@@ -501,6 +501,26 @@
 }
 END_TEST
 
+START_TEST(round_robin_takes_turns_over_all_zones)
+{
+	struct world world = world_create(1, 3);
+	struct policy_upstream *first[3];
+
+	json_object_set_new(world_service_json(&world, "s"), "choice",
+			    json_string("round-robin"));
+	world_publish_config(&world);
+	world_warm(&world);
+	for (guint i = 0; i < 3; i++)
+		first[i] = choose(&world);
+	ck_assert_ptr_ne(first[0], first[1]);
+	ck_assert_ptr_ne(first[1], first[2]);
+	ck_assert_ptr_ne(first[0], first[2]);
+	for (guint i = 0; i < 9; i++)
+		ck_assert_ptr_eq(choose(&world), first[i % 3]);
+	world_destroy(&world);
+}
+END_TEST
+
 START_TEST(admission_is_bounded)
 {
 	struct world world = world_create(1, 1);
@@ -598,5 +618,6 @@
 	  an_implausibly_shrunk_list_is_held_back,
 	  a_zone_that_is_out_may_vanish_from_the_list, a_list_never_goes_back,
 	  an_upstream_may_vanish_with_work_in_flight,
-	  the_faster_and_idler_of_two_is_chosen, admission_is_bounded,
+	  the_faster_and_idler_of_two_is_chosen,
+	  round_robin_takes_turns_over_all_zones, admission_is_bounded,
 	  the_highest_revision_wins, replayed_beats_are_dropped)
