Leave a slow upstream of the own zone, and learn from cancelled attempts

Now another zone is asked when it is more than twice as good, crossing counted; an attempt given up counts as at least as slow as it was; averages age by half in 5 s, so that an upstream left alone is tried again.

--- a/include/cuminsail/policy_fleet.h
+++ b/include/cuminsail/policy_fleet.h
@@ -61,6 +61,7 @@
 	gint64 peer_leaving_us; /* until then a peer's word says leaving */
 	gint64 relapsed_us; /* last turn to cold, or 0 */
 	double latency_us; /* moving average */
+	gint64 sampled_us; /* when it last moved */
 	GHashTable *snapshots; /* char * held, by the list or its answers */
 	GHashTable *denied; /* char * to gint64: not held until then */
 };
--- a/src/libpolicy/choose.c
+++ b/src/libpolicy/choose.c
@@ -1,11 +1,19 @@
 /* The choice of a pin for a query and of an upstream for an attempt. */
 #include "fleet.h"
 
+#include "cuminsail/clock.h"
+
 #include <string.h>
 
 /* One choice in this many goes to an upstream that this daemon warms. */
 #define WARMING_SHARE 4
 
+/* What the way to another zone and back costs. */
+#define CROSS_ZONE_US (1.0 * CS_US_PER_MS)
+
+/* How much better another zone must be to be asked. */
+#define FAR_FACTOR 2
+
 static bool is_out(const struct policy_fleet *fleet,
 		   const struct policy_upstream *upstream)
 {
@@ -78,33 +86,52 @@
 		set->warming = upstream;
 }
 
-static double cost(const struct policy_upstream *upstream)
+static double cost(const struct policy_upstream *upstream, gint64 now_us)
 {
-	return (upstream->inflight + 1) * (upstream->latency_us + 1);
+	return (upstream->inflight + 1) *
+	       (upstream_latency_us(upstream, now_us) + 1);
 }
 
 static struct policy_upstream *better(struct policy_upstream *a,
-				      struct policy_upstream *b)
+				      struct policy_upstream *b, gint64 now_us)
 {
-	return cost(b) < cost(a) ? b : a;
+	return cost(b, now_us) < cost(a, now_us) ? b : a;
 }
 
 static struct policy_upstream *pick(struct policy_fleet *fleet,
-				    const struct candidates *set)
+				    const struct candidates *set, gint64 now_us)
 {
-	bool warm_up;
-
 	if (!set->n_warm)
 		return set->warming;
-	if (set->warming) {
-		warm_up =
-			g_rand_int_range(fleet->random, 0, WARMING_SHARE) == 0;
-		if (warm_up)
-			return set->warming;
-	}
+	if (set->warming &&
+	    g_rand_int_range(fleet->random, 0, WARMING_SHARE) == 0)
+		return set->warming;
 	if (set->n_warm == 1)
 		return set->warm[0];
-	return better(set->warm[0], set->warm[1]);
+	return better(set->warm[0], set->warm[1], now_us);
+}
+
+/* The own zone goes first, unless another is much better. */
+static struct policy_upstream *pick_near(struct policy_fleet *fleet,
+					 const struct policy_service *service,
+					 const struct candidates *own,
+					 const struct candidates *other,
+					 gint64 now_us)
+{
+	struct policy_upstream *near = pick(fleet, own, now_us);
+	struct policy_upstream *far;
+
+	if (!service->config->spill && own->holder)
+		return near;
+	far = pick(fleet, other, now_us);
+	if (!near || !far)
+		return near ? near : far;
+	if (near->phase != POLICY_WARM || far->phase != POLICY_WARM)
+		return near;
+	if ((cost(far, now_us) + CROSS_ZONE_US) * FAR_FACTOR <
+	    cost(near, now_us))
+		return far;
+	return near;
 }
 
 /* The least recently chosen of all that have room. */
@@ -131,16 +158,12 @@
 static struct policy_upstream *pick_by(struct policy_fleet *fleet,
 				       struct policy_service *service,
 				       const struct candidates *own,
-				       const struct candidates *other)
+				       const struct candidates *other,
+				       gint64 now_us)
 {
-	struct policy_upstream *found;
-
 	switch (service->config->choice) {
 	case CONFIG_BETTER_OF_TWO:
-		found = pick(fleet, own);
-		if (!found && (service->config->spill || !own->holder))
-			found = pick(fleet, other);
-		return found;
+		return pick_near(fleet, service, own, other, now_us);
 	case CONFIG_ROUND_ROBIN:
 		return take_turn(service, own);
 	}
@@ -175,7 +198,7 @@
 			break;
 		}
 	}
-	found = pick_by(fleet, service, &own, &other);
+	found = pick_by(fleet, service, &own, &other, now_us);
 	*lack = POLICY_LACK_NONE;
 	if (!found)
 		*lack = own.holder || other.holder ? POLICY_LACK_ROOM
--- a/src/libpolicy/service.h
+++ b/src/libpolicy/service.h
@@ -37,6 +37,9 @@
 		     const struct list_upstream *listed);
 void upstream_set_phase(struct policy_upstream *upstream,
 			enum policy_phase phase, guint daemons_max);
+/* The moving average, less as it ages. */
+double upstream_latency_us(const struct policy_upstream *upstream,
+			   gint64 now_us);
 bool upstream_holds(const struct policy_upstream *upstream,
 		    const char *snapshot, gint64 now_us);
 void upstream_note(struct policy_upstream *upstream, enum policy_result result,
--- a/src/libpolicy/upstream.c
+++ b/src/libpolicy/upstream.c
@@ -5,11 +5,15 @@
 
 #include "cuminsail/clock.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Weight of a new latency in the moving average. */
 #define LATENCY_WEIGHT 0.2
 
+/* Without samples the average is halved in this time, so that it is tried. */
+#define LATENCY_HALF_US (5.0 * CS_US_PER_S)
+
 /* Cut of the limit on a refusal, and its floor. */
 #define LIMIT_CUT   0.7
 #define LIMIT_FLOOR 1.0
@@ -239,14 +243,37 @@
 		relapse(upstream, now_us, daemons_max, counters);
 }
 
+static void sample_latency(struct policy_upstream *upstream, gint64 latency_us,
+			   gint64 now_us)
+{
+	upstream->latency_us +=
+		LATENCY_WEIGHT * ((double)latency_us - upstream->latency_us);
+	upstream->sampled_us = now_us;
+}
+
+/* An attempt that was given up would have taken longer than it did. */
+static void sample_at_least(struct policy_upstream *upstream, gint64 latency_us,
+			    gint64 now_us)
+{
+	if ((double)latency_us > upstream->latency_us)
+		sample_latency(upstream, latency_us, now_us);
+}
+
+double upstream_latency_us(const struct policy_upstream *upstream,
+			   gint64 now_us)
+{
+	double idle_us = (double)(now_us - upstream->sampled_us);
+
+	return upstream->latency_us * exp2(-idle_us / LATENCY_HALF_US);
+}
+
 void upstream_note(struct policy_upstream *upstream, enum policy_result result,
 		   gint64 latency_us, gint64 now_us, guint daemons_max,
 		   struct cs_counters *counters)
 {
 	switch (result) {
 	case POLICY_DONE:
-		upstream->latency_us += LATENCY_WEIGHT * ((double)latency_us -
-							  upstream->latency_us);
+		sample_latency(upstream, latency_us, now_us);
 		service_note_latency(upstream->service, latency_us);
 		note_good(upstream, now_us, daemons_max, counters);
 		break;
@@ -255,6 +282,7 @@
 		note_bad(upstream, now_us, daemons_max, counters);
 		break;
 	case POLICY_TIMEOUT:
+		sample_at_least(upstream, latency_us, now_us);
 		note_bad(upstream, now_us, daemons_max, counters);
 		break;
 	case POLICY_UNSENT:
@@ -268,8 +296,10 @@
 		upstream->fail_run++;
 		suspend(upstream, now_us);
 		break;
-	case POLICY_LACKS:
 	case POLICY_DROPPED:
+		sample_at_least(upstream, latency_us, now_us);
+		break;
+	case POLICY_LACKS:
 	case POLICY_WITHDRAWN:
 		break;
 	}
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -11,7 +11,8 @@
  * PUT /control/fault/NAME sets a fault for all further requests, GET /log
  * tells what ran. Faults: none hang reset reset-after-run truncate garbage
  * wrong-id wrong-shard wrong-snapshot over-count half refuse refuse-unproven
- * huge slow straggle drain.
+ * huge slow straggle heavy
+ * drain.
  */
 #include "catalogue.h"
 
@@ -23,6 +24,7 @@
 
 #define SLOW_FACTOR	40
 #define STRAGGLE_FACTOR 10
+#define HEAVY_FACTOR	5
 #define HUGE_BYTES	(4 * 1024 * 1024)
 
 struct snapshot {
@@ -264,6 +266,8 @@
 		work_ms = (guint)(-log(1 - g_random_double()) * work_ms + 0.5);
 	if (is_fault("straggle"))
 		work_ms *= STRAGGLE_FACTOR;
+	if (is_fault("heavy"))
+		work_ms *= HEAVY_FACTOR;
 	if (is_fault("slow"))
 		work_ms *= SLOW_FACTOR;
 	if (served < own.cold && running > own.cold_limit)
--- a/test/unit/test_fleet.c
+++ b/test/unit/test_fleet.c
@@ -394,6 +394,12 @@
 	own = world_upstream(&world, "s0-0");
 	for (guint i = 0; i < 50; i++)
 		ck_assert_ptr_eq(choose(&world), own);
+	/* Another zone is asked when it is much better, and tried again. */
+	own->sampled_us = world.now_us;
+	own->latency_us = 80.0 * MS;
+	ck_assert_str_eq(choose(&world)->zone, "b");
+	world_pass(&world, 30000 * MS);
+	ck_assert_ptr_eq(choose(&world), own);
 	own->inflight = 8;
 	ck_assert_str_eq(choose(&world)->zone, "b");
 	json_object_set_new(world_service_json(&world, "s"), "spill",
@@ -493,6 +499,8 @@
 	b = world_upstream(&world, "s0-1");
 	a->latency_us = 1000;
 	b->latency_us = 5000;
+	a->sampled_us = world.now_us;
+	b->sampled_us = world.now_us;
 	ck_assert_ptr_eq(choose(&world), a);
 	a->inflight = 7;
 	ck_assert_ptr_eq(choose(&world), b);
@@ -521,6 +529,32 @@
 }
 END_TEST
 
+/* A hedge's loser is cancelled: that it was slow must still be learnt. */
+START_TEST(an_attempt_given_up_counts_as_at_least_as_slow)
+{
+	static const enum policy_result given_up[] = {POLICY_DROPPED,
+						      POLICY_TIMEOUT};
+
+	for (guint i = 0; i < G_N_ELEMENTS(given_up); i++) {
+		struct world world = world_create(1, 1);
+		struct policy_upstream *upstream =
+			world_upstream(&world, "s0-0");
+
+		world_warm(&world);
+		policy_upstream_begin(upstream);
+		policy_upstream_end(world.fleet, upstream, given_up[i],
+				    world.now_us - 50 * MS, world.now_us);
+		ck_assert_double_gt(upstream->latency_us, 5.0 * MS);
+		upstream->latency_us = 90.0 * MS;
+		policy_upstream_begin(upstream);
+		policy_upstream_end(world.fleet, upstream, given_up[i],
+				    world.now_us - 50 * MS, world.now_us);
+		ck_assert_double_eq(upstream->latency_us, 90.0 * MS);
+		world_destroy(&world);
+	}
+}
+END_TEST
+
 START_TEST(admission_is_bounded)
 {
 	struct world world = world_create(1, 1);
@@ -619,5 +653,6 @@
 	  a_zone_that_is_out_may_vanish_from_the_list, a_list_never_goes_back,
 	  an_upstream_may_vanish_with_work_in_flight,
 	  the_faster_and_idler_of_two_is_chosen,
-	  round_robin_takes_turns_over_all_zones, admission_is_bounded,
+	  round_robin_takes_turns_over_all_zones,
+	  an_attempt_given_up_counts_as_at_least_as_slow, admission_is_bounded,
 	  the_highest_revision_wins, replayed_beats_are_dropped)
