Tell a straggler from an overload; no extra load under pressure

Pressure now needs half of the shards late, and extra load is neither earned nor kept for a second after the window was cut.

--- a/include/cuminsail/policy_fleet.h
+++ b/include/cuminsail/policy_fleet.h
@@ -323,8 +323,9 @@
 /**
  * policy_service_earn - a first attempt earns its share of extra load
  * @service: a service
+ * @now_us: the clock; nothing is earned while the service is pressed
  */
-void policy_service_earn(struct policy_service *service);
+void policy_service_earn(struct policy_service *service, gint64 now_us);
 
 /**
  * policy_service_spend - ask for one retry or hedge
@@ -346,7 +347,7 @@
 /**
  * policy_service_leave - a query or order that had entered is over
  * @service: a service
- * @pressed: it lacked room, or took more than half of its time
+ * @pressed: it lacked room, or most of it took too much of its time
  * @now_us: the clock
  */
 void policy_service_leave(struct policy_service *service, bool pressed,
--- a/src/libpolicy/query.c
+++ b/src/libpolicy/query.c
@@ -95,12 +95,13 @@
 
 /* ---- attempts ---- */
 
-static void count_sent(struct policy_query *query, enum policy_cause cause)
+static void count_sent(struct policy_query *query, enum policy_cause cause,
+		       gint64 now_us)
 {
 	switch (cause) {
 	case POLICY_FIRST:
 		cs_counters_add(query->counters, CS_N_PARTS, 1);
-		policy_service_earn(query->service);
+		policy_service_earn(query->service, now_us);
 		break;
 	case POLICY_RETRY:
 		cs_counters_add(query->counters, CS_N_RETRIES, 1);
@@ -148,7 +149,7 @@
 	shard->open++;
 	set_hedge_time(query, shard, now_us);
 	policy_upstream_begin(upstream);
-	count_sent(query, cause);
+	count_sent(query, cause, now_us);
 	push_action(query, (struct policy_action){
 				   .kind = POLICY_SEND,
 				   .attempt = attempt->number,
@@ -556,14 +557,35 @@
 	return query;
 }
 
-/* A query that lacked room, or took more than half of its time. */
+/* Shards that took more than a quarter of the query's time. */
+static guint count_late(const struct policy_query *query)
+{
+	gint64 time_us = query->ask.deadline_us - query->begun_us;
+	guint late = 0;
+
+	for (guint i = 0; i < query->shards->len; i++) {
+		const struct shard *shard = shard_at(query, i);
+
+		if (shard->state != SHARD_DONE ||
+		    shard->done_us - query->begun_us > time_us / 4)
+			late++;
+	}
+	return late;
+}
+
+/*
+ * A query that lacked room, or took more than half of its time. One slow shard
+ * is a straggler; where half of them are late there is too much work.
+ */
 static bool was_pressed(const struct policy_query *query, gint64 now_us)
 {
-	gint64 half_us = (query->ask.deadline_us - query->begun_us) / 2;
+	gint64 time_us = query->ask.deadline_us - query->begun_us;
 
 	if (query->finished && query->answer.code == CS_E_OVERLOAD)
 		return true;
-	return now_us - query->begun_us > half_us;
+	if (now_us - query->begun_us <= time_us / 2)
+		return false;
+	return 2 * count_late(query) >= query->shards->len;
 }
 
 void policy_query_destroy(struct policy_query *query, gint64 now_us)
@@ -588,9 +610,11 @@
 	g_free(query);
 }
 
-static void take_part(struct shard *shard, struct policy_part *part)
+static void take_part(struct shard *shard, struct policy_part *part,
+		      gint64 now_us)
 {
 	shard->state = SHARD_DONE;
+	shard->done_us = now_us;
 	shard->covered = part->searched;
 	shard->hits = g_steal_pointer(&part->hits);
 }
@@ -617,7 +641,7 @@
 		cs_counters_add(query->counters, CS_N_HEDGE_WINS, 1);
 	close_attempt(query, found, result, now_us);
 	if (result == POLICY_DONE) {
-		take_part(shard, part);
+		take_part(shard, part, now_us);
 		cancel_open(query, shard, now_us);
 	} else {
 		after_failure(query, shard, result);
--- a/src/libpolicy/query.h
+++ b/src/libpolicy/query.h
@@ -22,6 +22,7 @@
 	bool hedged;
 	gint64 hedge_us; /* when to hedge; G_MAXINT64 for never */
 	GPtrArray *tried;
+	gint64 done_us; /* when it was answered */
 	gint64 covered; /* documents */
 	GPtrArray *hits;
 };
--- a/src/libpolicy/run.c
+++ b/src/libpolicy/run.c
@@ -51,7 +51,7 @@
 	policy_upstream_begin(upstream);
 	if (run->attempt == 1) {
 		cs_counters_add(run->counters, CS_N_PARTS, 1);
-		policy_service_earn(run->service);
+		policy_service_earn(run->service, now_us);
 	} else {
 		cs_counters_add(run->counters, CS_N_RETRIES, 1);
 	}
--- a/src/libpolicy/service.c
+++ b/src/libpolicy/service.c
@@ -11,10 +11,13 @@
 #define QUANTILE_EVERY 32
 
 /* How the window of work in progress is cut, how often, and its floor. */
-#define WINDOW_CUT	    0.8
-#define WINDOW_CUT_EVERY_US (50 * CS_US_PER_MS)
+#define WINDOW_CUT	    0.9
+#define WINDOW_CUT_EVERY_US (100 * CS_US_PER_MS)
 #define WINDOW_MIN	    2.0
 
+/* How long after a cut the service counts as pressed. */
+#define PRESSED_US CS_US_PER_S
+
 /* Retries and hedges that may come at once, before the share limits them. */
 #define TOKENS_MAX   20.0
 #define TOKENS_START 5.0
@@ -87,8 +90,13 @@
 	return service->hedge_us;
 }
 
-void policy_service_earn(struct policy_service *service)
+/* Extra load never feeds an overload. */
+void policy_service_earn(struct policy_service *service, gint64 now_us)
 {
+	if (service->cut_us && now_us - service->cut_us < PRESSED_US) {
+		service->tokens = 0;
+		return;
+	}
 	service->tokens =
 		MIN(service->tokens + service->config->extra_load, TOKENS_MAX);
 }
