A restart that nobody has seen yet: attempts name the incarnation

Red first: three daemons sending by turns, three replicas killed and started again; 3 requests run at once by an upstream that bears 1. Causes, each taken away in turn with the scenario run between:

1. every daemon takes it for the warm one until its first answer. Attempts now name the incarnation; another one refuses unrun, with proof. Still 3. 2. the limit rose by the daemon's own count while the upstream said cold. Its word now holds the limit down. Still 3. 3. a hedge's loser was cancelled and its place given away while the upstream went on with it. At an upstream that is not warm it now keeps its place for the part's time. 1.

Ruled out: two owners (one list, one owner by the exhaustive test).

--- a/include/cuminsail/policy_fleet.h
+++ b/include/cuminsail/policy_fleet.h
@@ -27,6 +27,7 @@
 	POLICY_UNSENT, /* no byte of the request left this daemon */
 	POLICY_REFUSED, /* the upstream proved that it did not run */
 	POLICY_LACKS, /* the same, for it does not hold the snapshot */
+	POLICY_MOVED, /* the same, for it is another incarnation than asked */
 	POLICY_LOST, /* sent, then reset, truncated or refused unproven */
 	POLICY_TIMEOUT, /* sent, no answer inside the time */
 	POLICY_BAD, /* an answer that does not belong or is malformed */
@@ -56,6 +57,7 @@
 	double limit; /* attempts this daemon may have open */
 	guint good_run; /* good answers since the last step */
 	guint fail_run; /* failures in a row */
+	gint64 occupied_us; /* until then cancelled work may still run there */
 	gint64 suspended_us; /* no attempt before this time */
 	gint64 good_us; /* last good answer while warm, or 0 */
 	gint64 peer_leaving_us; /* until then a peer's word says leaving */
--- a/include/cuminsail/upstream.h
+++ b/include/cuminsail/upstream.h
@@ -47,6 +47,7 @@
 	const char *address; /* "IP:port" */
 	const char *request_id;
 	gint64 attempt;
+	const char *incarnation; /* the one that it is meant for */
 	gint64 deadline_us;
 	gint64 connections; /* most connections to the address */
 	const char *shard; /* NULL for an order */
--- a/src/libengine/queries.c
+++ b/src/libengine/queries.c
@@ -109,6 +109,7 @@
 		.address = action->upstream->address,
 		.request_id = caller_exchange_id(job->exchange),
 		.attempt = action->attempt,
+		.incarnation = action->upstream->incarnation,
 		.deadline_us = action->deadline_us,
 		.connections = connection_share(job->engine, config),
 		.shard = action->shard,
--- a/src/libpolicy/choose.c
+++ b/src/libpolicy/choose.c
@@ -39,6 +39,8 @@
 
 static bool has_room(const struct policy_upstream *upstream, gint64 now_us)
 {
+	if (upstream->phase != POLICY_WARM && now_us < upstream->occupied_us)
+		return false;
 	/* After a run of failures one attempt at a time tries it again. */
 	if (now_us < upstream->suspended_us)
 		return false;
--- a/src/libpolicy/fleet.c
+++ b/src/libpolicy/fleet.c
@@ -376,7 +376,7 @@
 		set_incarnation(fleet, upstream, word->incarnation);
 	if (word->draining)
 		upstream->leaving = true;
-	if (word->cold && upstream->phase == POLICY_WARM)
+	if (word->cold)
 		upstream_set_phase(upstream, POLICY_COLD, fleet->daemons_max);
 }
 
--- a/src/libpolicy/query.c
+++ b/src/libpolicy/query.c
@@ -188,6 +188,7 @@
 	case POLICY_UNSENT:
 	case POLICY_REFUSED:
 	case POLICY_LACKS:
+	case POLICY_MOVED:
 	case POLICY_WITHDRAWN:
 		break;
 	case POLICY_DONE:
@@ -327,7 +328,8 @@
 
 static bool is_free(enum policy_result result)
 {
-	return result == POLICY_UNSENT || result == POLICY_LACKS;
+	return result == POLICY_UNSENT || result == POLICY_LACKS ||
+	       result == POLICY_MOVED;
 }
 
 static enum cs_counter retry_counter(enum policy_result result)
@@ -341,6 +343,8 @@
 		return CS_N_RETRY_LOST;
 	case POLICY_TIMEOUT:
 		return CS_N_RETRY_TIMEOUT;
+	case POLICY_MOVED:
+		return CS_N_RETRY_MOVED;
 	case POLICY_DONE:
 	case POLICY_LACKS:
 	case POLICY_BAD:
--- a/src/libpolicy/run.c
+++ b/src/libpolicy/run.c
@@ -136,7 +136,7 @@
 /* Proof that it did not run: ask another, if the budget allows. */
 static void after_proof(struct policy_run *run, enum policy_result result)
 {
-	bool sent = result != POLICY_UNSENT;
+	bool sent = result != POLICY_UNSENT && result != POLICY_MOVED;
 
 	run->last_code = sent ? CS_E_REFUSED : CS_E_IO;
 	cs_counters_add(run->counters,
@@ -165,6 +165,7 @@
 	case POLICY_UNSENT:
 	case POLICY_REFUSED:
 	case POLICY_LACKS:
+	case POLICY_MOVED:
 		after_proof(run, result);
 		break;
 	case POLICY_BAD:
--- a/src/libpolicy/upstream.c
+++ b/src/libpolicy/upstream.c
@@ -267,6 +267,18 @@
 	return upstream->latency_us * exp2(-idle_us / LATENCY_HALF_US);
 }
 
+/* A cold upstream may go on with cancelled work until its time is over. */
+static void occupy(struct policy_upstream *upstream, gint64 sent_us)
+{
+	const struct config_service *config = upstream->service->config;
+
+	if (upstream->phase == POLICY_WARM || !config)
+		return;
+	upstream->occupied_us =
+		MAX(upstream->occupied_us,
+		    sent_us + config->part_timeout_ms * CS_US_PER_MS);
+}
+
 void upstream_note(struct policy_upstream *upstream, enum policy_result result,
 		   gint64 latency_us, gint64 now_us, guint daemons_max,
 		   struct cs_counters *counters)
@@ -298,8 +310,10 @@
 		break;
 	case POLICY_DROPPED:
 		sample_at_least(upstream, latency_us, now_us);
+		occupy(upstream, now_us - latency_us);
 		break;
 	case POLICY_LACKS:
+	case POLICY_MOVED:
 	case POLICY_WITHDRAWN:
 		break;
 	}
@@ -316,6 +330,8 @@
 		return "refused";
 	case POLICY_LACKS:
 		return "lacks-snapshot";
+	case POLICY_MOVED:
+		return "other-incarnation";
 	case POLICY_LOST:
 		return "lost";
 	case POLICY_TIMEOUT:
--- a/src/libupstream/client.c
+++ b/src/libupstream/client.c
@@ -6,6 +6,7 @@
 
 #define HEADER_NOT_RUN	   "Cuminsail-Not-Run"
 #define HEADER_LACKS	   "Cuminsail-Lacks-Snapshot"
+#define HEADER_MOVED	   "Cuminsail-Other-Incarnation"
 #define HEADER_STATE	   "Cuminsail-State"
 #define HEADER_INCARNATION "Cuminsail-Incarnation"
 
@@ -114,6 +115,9 @@
 	if (status == SOUP_STATUS_CONFLICT &&
 	    soup_message_headers_get_one(headers, HEADER_LACKS))
 		return POLICY_LACKS;
+	if (status == SOUP_STATUS_CONFLICT &&
+	    soup_message_headers_get_one(headers, HEADER_MOVED))
+		return POLICY_MOVED;
 	if (status == SOUP_STATUS_SERVICE_UNAVAILABLE ||
 	    status == SOUP_STATUS_CONFLICT)
 		return POLICY_REFUSED;
@@ -267,8 +271,9 @@
 	gint64 left_us =
 		request->deadline_us - cs_clock_now(call->client->clock);
 	json_t *document = json_pack(
-		"{s:s,s:I,s:I,s:O}", "request_id", request->request_id,
-		"attempt", (json_int_t)request->attempt, "deadline_ms",
+		"{s:s,s:I,s:s,s:I,s:O}", "request_id", request->request_id,
+		"attempt", (json_int_t)request->attempt, "incarnation",
+		request->incarnation, "deadline_ms",
 		(json_int_t)(left_us / CS_US_PER_MS),
 		call->is_order ? "order" : "query", request->body);
 	char *text;
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -125,7 +125,7 @@
 }
 
 static void refuse(struct request *request, guint status, bool proven,
-		   bool lacks)
+		   const char *reason)
 {
 	SoupMessageHeaders *headers =
 		soup_server_message_get_response_headers(request->message);
@@ -138,9 +138,8 @@
 	if (proven)
 		soup_message_headers_replace(headers, "Cuminsail-Not-Run",
 					     identity);
-	if (lacks)
-		soup_message_headers_replace(
-			headers, "Cuminsail-Lacks-Snapshot", "true");
+	if (reason)
+		soup_message_headers_replace(headers, reason, "true");
 	reply(request->message, status, json_object());
 }
 
@@ -293,16 +292,18 @@
 
 static bool refuse_early(struct request *request)
 {
-	if (is_fault("refuse")) {
-		refuse(request, 503, true, false);
+	if (strcmp(text_of(request->body, "incarnation"), own.incarnation)) {
+		refuse(request, 409, true, "Cuminsail-Other-Incarnation");
+	} else if (is_fault("refuse")) {
+		refuse(request, 503, true, NULL);
 	} else if (is_fault("refuse-unproven")) {
-		refuse(request, 503, false, false);
+		refuse(request, 503, false, NULL);
 	} else if (!request->is_order &&
 		   !find_snapshot(text_of(request->body, "snapshot"))) {
-		refuse(request, 409, true, true);
+		refuse(request, 409, true, "Cuminsail-Lacks-Snapshot");
 	} else if (running >= own.slots &&
 		   g_queue_get_length(waiting) >= own.queue) {
-		refuse(request, 503, true, false);
+		refuse(request, 503, true, NULL);
 	} else {
 		return false;
 	}
--- a/test/unit/test_fleet.c
+++ b/test/unit/test_fleet.c
@@ -53,6 +53,27 @@
 }
 END_TEST
 
+/* Cancelled work may still run there: its place is free after its time. */
+START_TEST(cancelled_work_keeps_its_place_at_a_cold_upstream)
+{
+	struct world world = world_create(1, 1);
+	struct policy_upstream *upstream;
+
+	world_own(&world);
+	upstream = choose(&world);
+	policy_upstream_begin(upstream);
+	world_pass(&world, 10 * MS);
+	policy_upstream_end(world.fleet, upstream, POLICY_DROPPED,
+			    world.now_us - 10 * MS, world.now_us);
+	ck_assert_ptr_null(choose(&world));
+	world_pass(&world, 89 * MS);
+	ck_assert_ptr_null(choose(&world));
+	world_pass(&world, 1 * MS);
+	ck_assert_ptr_eq(choose(&world), upstream);
+	world_destroy(&world);
+}
+END_TEST
+
 /* warm_after is 2, slots are 4: 1, 2, then 4 is warm. */
 START_TEST(good_answers_raise_the_limit_by_steps)
 {
@@ -116,6 +137,7 @@
 		{POLICY_TIMEOUT, 5, POLICY_COLD},
 		{POLICY_DROPPED, 9, POLICY_WARM},
 		{POLICY_LACKS, 9, POLICY_WARM},
+		{POLICY_MOVED, 9, POLICY_WARM},
 		{POLICY_BAD, 9, POLICY_WARM},
 	};
 
@@ -181,6 +203,12 @@
 	world_warm(&world);
 	policy_upstream_heard(world.fleet, upstream, &word);
 	ck_assert_int_eq(upstream->phase, POLICY_COLD);
+	/* While it says so, good answers raise nothing. */
+	for (guint i = 0; i < 20; i++) {
+		policy_upstream_heard(world.fleet, upstream, &word);
+		one_attempt(&world, upstream, POLICY_DONE);
+		ck_assert_double_eq(upstream->limit, 1);
+	}
 	world_destroy(&world);
 }
 END_TEST
@@ -689,6 +717,7 @@
 
 UNIT_MAIN("fleet", an_unknown_upstream_gets_nothing_before_it_is_owned,
 	  a_cold_upstream_gets_its_limit_and_no_more,
+	  cancelled_work_keeps_its_place_at_a_cold_upstream,
 	  good_answers_raise_the_limit_by_steps,
 	  any_trouble_while_warming_starts_over, a_warm_upstream_turns_cold,
 	  a_new_incarnation_is_cold_by_list_and_by_word,
--- a/test/unit/test_query.c
+++ b/test/unit/test_query.c
@@ -123,6 +123,7 @@
 	F_UNSENT,
 	F_REFUSED,
 	F_LACKS,
+	F_MOVED,
 	F_LOST,
 	F_TIMEOUT,
 	F_WRONG_ID,
@@ -204,7 +205,8 @@
 /* Proof that the attempt did not run. */
 static bool is_proof(enum fault fault)
 {
-	return fault == F_UNSENT || fault == F_REFUSED || fault == F_LACKS;
+	return fault == F_UNSENT || fault == F_REFUSED || fault == F_LACKS ||
+	       fault == F_MOVED;
 }
 
 static void inject(struct run *run, const struct policy_action *action,
@@ -220,6 +222,9 @@
 	case F_LACKS:
 		lose(run, action, POLICY_LACKS);
 		break;
+	case F_MOVED:
+		lose(run, action, POLICY_MOVED);
+		break;
 	case F_LOST:
 		lose(run, action, POLICY_LOST);
 		break;
@@ -298,6 +303,7 @@
 		{F_LOST, CS_N_RETRY_LOST},
 		{F_REFUSED, CS_N_RETRY_REFUSED},
 		{F_UNSENT, CS_N_RETRY_UNSENT},
+		{F_MOVED, CS_N_RETRY_MOVED},
 		{F_TIMEOUT, CS_N_RETRY_TIMEOUT},
 	};
 
