--- a/src/libengine/orders.c
+++ b/src/libengine/orders.c
@@ -1,5 +1,5 @@
 /* Tickets, the run of orders, and forwarding to the issuer. */
-#include "internal.h"
+#include "waits.h"
 
 #include <string.h>
 
@@ -17,140 +17,9 @@
 	char *answer;
 };
 
-enum wait_kind {
-	WAIT_CALLER, /* a caller waits for a run here */
-	WAIT_PEER, /* a peer waits for a run here */
-	WAIT_ISSUER, /* a caller waits for a run at the issuer */
-};
-
-/* One that waits for a result. */
-struct order_wait {
-	struct engine_job base;
-	TAILQ_ENTRY(order_wait) link;
-	struct cs_timer timer;
-	struct engine *engine;
-	enum wait_kind kind;
-	struct policy_order *order; /* WAIT_CALLER, WAIT_PEER */
-	struct caller_exchange *exchange; /* WAIT_CALLER, WAIT_ISSUER */
-	char *peer; /* WAIT_PEER, WAIT_ISSUER */
-	guint64 tag;
-};
-
-#define wait_of(ptr)                                                           \
-	((struct order_wait *)((char *)(ptr)-offsetof(struct order_wait,       \
-						      timer)))
 #define job_of(ptr)                                                            \
 	((struct order_job *)((char *)(ptr)-offsetof(struct order_job, timer)))
 
-/* ---- those who wait ---- */
-
-static void free_wait(struct order_wait *wait)
-{
-	cs_timer_disarm(wait->engine->clock, &wait->timer);
-	TAILQ_REMOVE(&wait->engine->order_waits, wait, link);
-	g_free(wait->peer);
-	g_free(wait);
-}
-
-void engine_drop_order_wait(struct order_wait *wait)
-{
-	free_wait(wait);
-}
-
-static void reply_caller(struct caller_exchange *exchange,
-			 const struct policy_order_result *result)
-{
-	json_t *answer;
-
-	caller_exchange_set_data(exchange, NULL);
-	if (result->outcome != CS_ANSWERED) {
-		caller_exchange_refuse(exchange, result->code, result->outcome,
-				       NULL);
-		return;
-	}
-	answer = json_loads(result->body ? result->body : "null",
-			    JSON_DECODE_ANY, NULL);
-	caller_exchange_reply(
-		exchange, json_pack("{s:s,s:O?}", "outcome",
-				    cs_outcome_name(result->outcome), "result",
-				    json_object_get(answer, "result")));
-	json_decref(answer);
-}
-
-static void reply_peer(struct engine *engine, const char *peer, guint64 tag,
-		       const struct policy_order_result *result)
-{
-	struct peer_frame frame = {
-		.kind = PEER_RESULT,
-		.result =
-			{
-				.tag = tag,
-				.code = result->code,
-				.outcome = (gint32)result->outcome,
-				.body = result->body ? result->body : "",
-			},
-	};
-
-	peer_links_send(engine->links, peer, &frame);
-}
-
-/* Give a result and forget the one who waited. */
-static void settle(struct order_wait *wait,
-		   const struct policy_order_result *result)
-{
-	switch (wait->kind) {
-	case WAIT_CALLER:
-	case WAIT_ISSUER:
-		reply_caller(wait->exchange, result);
-		break;
-	case WAIT_PEER:
-		reply_peer(wait->engine, wait->peer, wait->tag, result);
-		break;
-	}
-	free_wait(wait);
-}
-
-/* The wait ends, the run goes on: nothing proves either way. */
-static void on_wait_timeout(struct cs_timer *timer)
-{
-	struct order_wait *wait = wait_of(timer);
-	struct policy_order_result result = {
-		.code = wait->kind == WAIT_ISSUER ? CS_E_ISSUER : CS_E_DEADLINE,
-		.outcome = CS_UNKNOWN,
-	};
-
-	settle(wait, &result);
-}
-
-static struct order_wait *create_wait(struct engine *engine,
-				      enum wait_kind kind, gint64 wait_ms)
-{
-	struct order_wait *wait = g_new0(struct order_wait, 1);
-
-	wait->base.kind = JOB_ORDER;
-	wait->timer.fire = on_wait_timeout;
-	wait->engine = engine;
-	wait->kind = kind;
-	TAILQ_INSERT_TAIL(&engine->order_waits, wait, link);
-	cs_timer_arm(engine->clock, &wait->timer,
-		     engine_now(engine) + wait_ms * CS_US_PER_MS);
-	return wait;
-}
-
-static void settle_all(struct engine *engine, const struct policy_order *order,
-		       const struct policy_order_result *result)
-{
-	struct order_wait *wait = TAILQ_FIRST(&engine->order_waits);
-
-	while (wait) {
-		struct order_wait *next = TAILQ_NEXT(wait, link);
-
-		if (wait->order == order && wait->kind != WAIT_ISSUER)
-			settle(wait, result);
-		wait = next;
-	}
-}
-
 /* ---- the run ---- */
 
 static void free_order_job(struct order_job *job)
@@ -196,7 +65,7 @@
 	       cs_outcome_name(result.outcome), "reason",
 	       cs_error_name(result.code), NULL);
 	policy_order_finish(order, &result);
-	settle_all(engine, order, policy_order_result(order));
+	order_wait_settle_all(engine, order, policy_order_result(order));
 	free_order_job(job);
 }
 
@@ -312,7 +181,8 @@
 
 		count_result(engine, CS_NOT_RUN);
 		policy_order_finish(order, &result);
-		settle_all(engine, order, policy_order_result(order));
+		order_wait_settle_all(engine, order,
+				      policy_order_result(order));
 		return;
 	}
 	job = g_new0(struct order_job, 1);
@@ -352,10 +222,10 @@
 		break;
 	case POLICY_ORDER_REPLAY:
 		cs_counters_add(engine->counters, CS_N_ORDER_REPLAYS, 1);
-		settle(wait, policy_order_result(order));
+		order_wait_settle(wait, policy_order_result(order));
 		break;
 	case POLICY_ORDER_REFUSE:
-		settle(wait, &refusal);
+		order_wait_settle(wait, &refusal);
 		break;
 	}
 }
@@ -414,7 +284,7 @@
 			.outcome = CS_UNKNOWN,
 		};
 
-		settle(wait, &result);
+		order_wait_settle(wait, &result);
 	}
 }
 
@@ -434,7 +304,8 @@
 		return;
 	}
 	own = !strcmp(ticket.issuer, engine->settings->instance);
-	wait = create_wait(engine, own ? WAIT_CALLER : WAIT_ISSUER, wait_ms);
+	wait = order_wait_create(engine, own ? WAIT_CALLER : WAIT_ISSUER,
+				 wait_ms);
 	wait->exchange = exchange;
 	caller_exchange_set_data(exchange, wait);
 	if (own)
@@ -454,7 +325,7 @@
 		.outcome = CS_UNKNOWN,
 	};
 
-	reply_peer(engine, frame->sender, frame->order.tag, &result);
+	order_reply_peer(engine, frame->sender, frame->order.tag, &result);
 }
 
 void engine_take_order(struct engine *engine, const struct peer_frame *frame)
@@ -474,7 +345,7 @@
 
 		wait_ms = engine_deadline_ms(policy_service_config(service),
 					     frame->order.wait_ms);
-		wait = create_wait(engine, WAIT_PEER, wait_ms);
+		wait = order_wait_create(engine, WAIT_PEER, wait_ms);
 		wait->peer = g_strdup(frame->sender);
 		wait->tag = frame->order.tag;
 		take_order(wait, &ticket, service, body, wait_ms);
@@ -515,7 +386,7 @@
 			break;
 	}
 	if (wait)
-		settle(wait, &result);
+		order_wait_settle(wait, &result);
 }
 
 /* ---- the end ---- */
@@ -531,7 +402,7 @@
 	while (!TAILQ_EMPTY(&engine->order_waits))
 		/* The analyzer does not follow the removal from the list. */
 		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
-		free_wait(TAILQ_FIRST(&engine->order_waits));
+		order_wait_destroy(TAILQ_FIRST(&engine->order_waits));
 	while (!TAILQ_EMPTY(&engine->order_jobs))
 		/* The analyzer does not follow the removal from the list. */
 		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
--- a/src/libpolicy/query.c
+++ b/src/libpolicy/query.c
@@ -5,37 +5,9 @@
 
 #include <string.h>
 
-/* Kept back from the caller's deadline for the way of the answer. */
-#define REPLY_RESERVE_US (2 * CS_US_PER_MS)
-
 /* Most attempts for one shard, first one included. */
 #define ATTEMPTS_MAX 4
 
-static void push_action(struct policy_query *query, struct policy_action action)
-{
-	struct queued_action *queued = g_new0(struct queued_action, 1);
-
-	queued->action = action;
-	TAILQ_INSERT_TAIL(&query->actions, queued, link);
-}
-
-bool policy_query_next(struct policy_query *query, struct policy_action *action)
-{
-	struct queued_action *queued = TAILQ_FIRST(&query->actions);
-
-	if (!queued)
-		return false;
-	TAILQ_REMOVE(&query->actions, queued, link);
-	*action = queued->action;
-	g_free(queued);
-	return true;
-}
-
-static struct shard *shard_at(const struct policy_query *query, guint index)
-{
-	return &g_array_index(query->shards, struct shard, index);
-}
-
 /* ---- the pin ---- */
 
 static void clear_shard(struct shard *shard)
@@ -60,27 +32,7 @@
 	}
 }
 
-/* ---- waiting for room ---- */
-
-static void set_waiter(struct policy_query *query, bool waits, gint64 now_us)
-{
-	if (waits == query->is_waiter)
-		return;
-	query->is_waiter = waits;
-	if (waits) {
-		query->waiting_since_us = now_us;
-		TAILQ_INSERT_TAIL(&query->service->waiters, query, waiter);
-	} else {
-		TAILQ_REMOVE(&query->service->waiters, query, waiter);
-	}
-}
-
-void *policy_service_first_waiter(const struct policy_service *service)
-{
-	const struct policy_query *query = TAILQ_FIRST(&service->waiters);
-
-	return query ? query->user : NULL;
-}
+/* ---- admission ---- */
 
 /* New work that would only wait past its deadline is refused at once. */
 static bool queue_is_stale(const struct policy_service *service,
@@ -93,237 +45,6 @@
 	return now_us - oldest->waiting_since_us > (deadline_us - now_us) / 2;
 }
 
-/* ---- attempts ---- */
-
-static void count_sent(struct policy_query *query, enum policy_cause cause,
-		       gint64 now_us)
-{
-	switch (cause) {
-	case POLICY_FIRST:
-		cs_counters_add(query->counters, CS_N_PARTS, 1);
-		policy_service_earn(query->service, now_us);
-		break;
-	case POLICY_RETRY:
-		cs_counters_add(query->counters, CS_N_RETRIES, 1);
-		break;
-	case POLICY_HEDGE:
-		cs_counters_add(query->counters, CS_N_HEDGES, 1);
-		break;
-	}
-}
-
-static gint64 latest_reply(const struct policy_query *query)
-{
-	return query->ask.deadline_us - REPLY_RESERVE_US;
-}
-
-static void set_hedge_time(struct policy_query *query, struct shard *shard,
-			   gint64 now_us)
-{
-	gint64 after_us = policy_service_hedge_us(query->service);
-
-	if (after_us > 0 && !shard->hedged)
-		shard->hedge_us = now_us + after_us;
-	else
-		shard->hedge_us = G_MAXINT64;
-}
-
-static void send_attempt(struct policy_query *query, struct shard *shard,
-			 struct policy_upstream *upstream,
-			 enum policy_cause cause, gint64 now_us)
-{
-	const struct config_service *config = query->service->config;
-	struct attempt *attempt = g_new0(struct attempt, 1);
-
-	attempt->number = ++query->next_attempt;
-	attempt->shard = shard;
-	attempt->upstream = upstream;
-	attempt->cause = cause;
-	attempt->sent_us = now_us;
-	attempt->timeout_us =
-		MIN(now_us + config->part_timeout_ms * CS_US_PER_MS,
-		    latest_reply(query));
-	TAILQ_INSERT_TAIL(&query->open, attempt, link);
-	g_ptr_array_add(shard->tried, upstream);
-	shard->state = SHARD_ASKED;
-	shard->open++;
-	set_hedge_time(query, shard, now_us);
-	policy_upstream_begin(upstream);
-	count_sent(query, cause, now_us);
-	push_action(query, (struct policy_action){
-				   .kind = POLICY_SEND,
-				   .attempt = attempt->number,
-				   .upstream = upstream,
-				   .shard = shard->listed->id,
-				   .snapshot = query->pin->snapshot,
-				   .map = query->pin->map,
-				   .deadline_us = attempt->timeout_us,
-			   });
-}
-
-static struct attempt *find_attempt(const struct policy_query *query,
-				    gint64 number)
-{
-	struct attempt *attempt;
-
-	TAILQ_FOREACH (attempt, &query->open, link) {
-		if (attempt->number == number)
-			return attempt;
-	}
-	return NULL;
-}
-
-struct policy_upstream *policy_query_upstream(struct policy_query *query,
-					      gint64 attempt)
-{
-	struct attempt *found = find_attempt(query, attempt);
-
-	return found ? found->upstream : NULL;
-}
-
-static void close_attempt(struct policy_query *query, struct attempt *attempt,
-			  enum policy_result result, gint64 now_us)
-{
-	switch (result) {
-	case POLICY_UNSENT:
-	case POLICY_REFUSED:
-	case POLICY_LACKS:
-	case POLICY_MOVED:
-	case POLICY_WITHDRAWN:
-		break;
-	case POLICY_DONE:
-	case POLICY_LOST:
-	case POLICY_TIMEOUT:
-	case POLICY_BAD:
-	case POLICY_DROPPED:
-		query->may_have_run = true;
-		break;
-	}
-	note_attempt(query, attempt, result, now_us);
-	TAILQ_REMOVE(&query->open, attempt, link);
-	attempt->shard->open--;
-	policy_upstream_end(query->fleet, attempt->upstream, result,
-			    attempt->sent_us, now_us);
-	g_free(attempt);
-}
-
-/* Take back an attempt whose POLICY_SEND nobody has taken yet. */
-static bool take_back(struct policy_query *query, gint64 number)
-{
-	struct queued_action *queued;
-
-	TAILQ_FOREACH (queued, &query->actions, link) {
-		if (queued->action.kind == POLICY_SEND &&
-		    queued->action.attempt == number)
-			break;
-	}
-	if (!queued)
-		return false;
-	TAILQ_REMOVE(&query->actions, queued, link);
-	g_free(queued);
-	return true;
-}
-
-static void cancel_attempt(struct policy_query *query, struct attempt *attempt,
-			   enum policy_result result, gint64 now_us)
-{
-	if (take_back(query, attempt->number)) {
-		close_attempt(query, attempt, POLICY_WITHDRAWN, now_us);
-		return;
-	}
-	push_action(query, (struct policy_action){
-				   .kind = POLICY_CANCEL,
-				   .attempt = attempt->number,
-			   });
-	cs_counters_add(query->counters, CS_N_CANCELS, 1);
-	close_attempt(query, attempt, result, now_us);
-}
-
-/* Cancel the open attempts of one shard, or of all when @shard is NULL. */
-static void cancel_open(struct policy_query *query, const struct shard *shard,
-			gint64 now_us)
-{
-	struct attempt *attempt = TAILQ_FIRST(&query->open);
-
-	while (attempt) {
-		struct attempt *next = TAILQ_NEXT(attempt, link);
-
-		if (!shard || attempt->shard == shard)
-			cancel_attempt(query, attempt, POLICY_DROPPED, now_us);
-		attempt = next;
-	}
-}
-
-/* ---- the end ---- */
-
-static void sum_up(struct policy_query *query)
-{
-	struct policy_answer *answer = &query->answer;
-
-	answer->pin = query->pin;
-	answer->documents = query->pin->documents;
-	answer->shards = query->shards->len;
-	answer->documents_answered = 0;
-	answer->shards_answered = 0;
-	for (guint i = 0; i < query->shards->len; i++) {
-		const struct shard *shard = shard_at(query, i);
-
-		if (shard->state != SHARD_DONE)
-			continue;
-		answer->documents_answered += shard->covered;
-		answer->shards_answered++;
-	}
-}
-
-static double coverage(const struct policy_answer *answer)
-{
-	if (answer->documents > 0)
-		return (double)answer->documents_answered /
-		       (double)answer->documents;
-	return (double)answer->shards_answered / answer->shards;
-}
-
-static bool is_complete(const struct policy_answer *answer)
-{
-	return answer->documents_answered == answer->documents &&
-	       answer->shards_answered == answer->shards;
-}
-
-static int refusal(const struct policy_query *query, gint64 now_us)
-{
-	const struct policy_answer *answer = &query->answer;
-
-	if (answer->shards_answered &&
-	    coverage(answer) >= query->ask.least_coverage)
-		return 0;
-	if (query->room_lacked)
-		return CS_E_OVERLOAD;
-	if (now_us >= latest_reply(query))
-		return CS_E_DEADLINE;
-	return CS_E_COVERAGE;
-}
-
-static void finish(struct policy_query *query, gint64 now_us)
-{
-	struct policy_answer *answer = &query->answer;
-
-	cancel_open(query, NULL, now_us);
-	set_waiter(query, false, now_us);
-	sum_up(query);
-	answer->code = refusal(query, now_us);
-	if (!answer->code)
-		answer->outcome = CS_ANSWERED;
-	else
-		answer->outcome = query->may_have_run ? CS_UNKNOWN : CS_NOT_RUN;
-	answer->hits = merge_hits(query);
-	if (!answer->code)
-		cs_counters_add(
-			query->counters,
-			is_complete(answer) ? CS_N_ANSWERED : CS_N_PARTIAL, 1);
-	query->finished = true;
-	push_action(query, (struct policy_action){.kind = POLICY_FINISH});
-}
-
 /* ---- progress ---- */
 
 static bool is_free(enum policy_result result)
@@ -385,7 +106,7 @@
 
 	switch (lack) {
 	case POLICY_LACK_NONE:
-		send_attempt(query, shard, upstream, shard->next_cause, now_us);
+		attempt_send(query, shard, upstream, shard->next_cause, now_us);
 		return false;
 	case POLICY_LACK_ROOM:
 		query->room_lacked = true;
@@ -402,7 +123,7 @@
 	bool waits = false;
 
 	for (guint i = 0; i < query->shards->len; i++) {
-		struct shard *shard = shard_at(query, i);
+		struct shard *shard = query_shard(query, i);
 
 		if (shard->state == SHARD_WAITING)
 			waits = ask_shard(query, shard, now_us) || waits;
@@ -424,7 +145,7 @@
 	if (!upstream)
 		return;
 	if (policy_service_spend(query->service))
-		send_attempt(query, shard, upstream, POLICY_HEDGE, now_us);
+		attempt_send(query, shard, upstream, POLICY_HEDGE, now_us);
 	else
 		cs_counters_add(query->counters, CS_N_NO_BUDGET, 1);
 }
@@ -432,7 +153,7 @@
 static void hedge_slow(struct policy_query *query, gint64 now_us)
 {
 	for (guint i = 0; i < query->shards->len; i++) {
-		struct shard *shard = shard_at(query, i);
+		struct shard *shard = query_shard(query, i);
 
 		if (shard->state == SHARD_ASKED && now_us >= shard->hedge_us)
 			hedge_shard(query, shard, now_us);
@@ -448,7 +169,7 @@
 		struct shard *shard = attempt->shard;
 
 		if (now_us >= attempt->timeout_us) {
-			cancel_attempt(query, attempt, POLICY_TIMEOUT, now_us);
+			attempt_cancel(query, attempt, POLICY_TIMEOUT, now_us);
 			after_failure(query, shard, POLICY_TIMEOUT);
 		}
 		attempt = next;
@@ -472,7 +193,7 @@
 	}
 	query->restarted = true;
 	cs_counters_add(query->counters, CS_N_RESTARTS, 1);
-	cancel_open(query, NULL, now_us);
+	query_cancel_open(query, NULL, now_us);
 	query->old_pin = g_steal_pointer(&query->pin);
 	set_pin(query, pin);
 	return true;
@@ -484,7 +205,7 @@
 	guint count = 0;
 
 	for (guint i = 0; i < query->shards->len; i++) {
-		if (shard_at(query, i)->state == state)
+		if (query_shard(query, i)->state == state)
 			count++;
 	}
 	return count;
@@ -496,16 +217,16 @@
 
 	if (query->finished)
 		return;
-	if (now_us >= latest_reply(query)) {
-		finish(query, now_us);
+	if (now_us >= query_latest_reply(query)) {
+		query_finish(query, now_us);
 		return;
 	}
 	waits = ask_waiting(query, now_us);
 	if (count_state(query, SHARD_FAILED) && restart(query, now_us))
 		waits = ask_waiting(query, now_us);
-	set_waiter(query, waits, now_us);
+	query_set_waiter(query, waits, now_us);
 	if (!waits && TAILQ_EMPTY(&query->open))
-		finish(query, now_us);
+		query_finish(query, now_us);
 }
 
 /* ---- the interface ---- */
@@ -568,7 +289,7 @@
 	guint late = 0;
 
 	for (guint i = 0; i < query->shards->len; i++) {
-		const struct shard *shard = shard_at(query, i);
+		const struct shard *shard = query_shard(query, i);
 
 		if (shard->state != SHARD_DONE ||
 		    shard->done_us - query->begun_us > time_us / 4)
@@ -598,8 +319,8 @@
 
 	if (!query)
 		return;
-	cancel_open(query, NULL, now_us);
-	set_waiter(query, false, now_us);
+	query_cancel_open(query, NULL, now_us);
+	query_set_waiter(query, false, now_us);
 	policy_service_leave(query->service, was_pressed(query, now_us),
 			     now_us);
 	while (policy_query_next(query, &action))
@@ -626,7 +347,7 @@
 void policy_query_answered(struct policy_query *query, gint64 attempt,
 			   struct policy_part *part, gint64 now_us)
 {
-	struct attempt *found = find_attempt(query, attempt);
+	struct attempt *found = attempt_find(query, attempt);
 	enum policy_result result;
 	struct shard *shard;
 
@@ -643,10 +364,10 @@
 				     now_us);
 	if (result == POLICY_DONE && found->cause == POLICY_HEDGE)
 		cs_counters_add(query->counters, CS_N_HEDGE_WINS, 1);
-	close_attempt(query, found, result, now_us);
+	attempt_close(query, found, result, now_us);
 	if (result == POLICY_DONE) {
 		take_part(shard, part, now_us);
-		cancel_open(query, shard, now_us);
+		query_cancel_open(query, shard, now_us);
 	} else {
 		after_failure(query, shard, result);
 	}
@@ -657,7 +378,7 @@
 void policy_query_failed(struct policy_query *query, gint64 attempt,
 			 enum policy_result result, gint64 now_us)
 {
-	struct attempt *found = find_attempt(query, attempt);
+	struct attempt *found = attempt_find(query, attempt);
 	struct shard *shard;
 
 	if (!found)
@@ -666,7 +387,7 @@
 	if (result == POLICY_LACKS)
 		policy_upstream_deny(found->upstream, query->pin->snapshot,
 				     now_us);
-	close_attempt(query, found, result, now_us);
+	attempt_close(query, found, result, now_us);
 	after_failure(query, shard, result);
 	advance(query, now_us);
 }
@@ -675,7 +396,7 @@
 {
 	if (query->finished)
 		return;
-	if (now_us < latest_reply(query)) {
+	if (now_us < query_latest_reply(query)) {
 		time_out(query, now_us);
 		hedge_slow(query, now_us);
 	}
@@ -684,13 +405,13 @@
 
 gint64 policy_query_wake(const struct policy_query *query)
 {
-	gint64 wake = latest_reply(query);
+	gint64 wake = query_latest_reply(query);
 	const struct attempt *attempt;
 
 	TAILQ_FOREACH (attempt, &query->open, link)
 		wake = MIN(wake, attempt->timeout_us);
 	for (guint i = 0; i < query->shards->len; i++) {
-		const struct shard *shard = shard_at(query, i);
+		const struct shard *shard = query_shard(query, i);
 
 		if (shard->state == SHARD_ASKED)
 			wake = MIN(wake, shard->hedge_us);
--- a/src/libpolicy/query.h
+++ b/src/libpolicy/query.h
@@ -4,6 +4,7 @@
 
 #include "service.h"
 
+#include "cuminsail/clock.h"
 #include "cuminsail/policy_query.h"
 
 enum shard_state {
@@ -78,6 +79,28 @@
 	void *user;
 };
 
+/* Kept back from the caller's deadline for the way of the answer. */
+#define REPLY_RESERVE_US (2 * CS_US_PER_MS)
+
+/* attempt.c; query_cancel_open() takes one shard, or NULL for all. */
+void query_push(struct policy_query *query, struct policy_action action);
+struct shard *query_shard(const struct policy_query *query, guint index);
+gint64 query_latest_reply(const struct policy_query *query);
+void attempt_send(struct policy_query *query, struct shard *shard,
+		  struct policy_upstream *upstream, enum policy_cause cause,
+		  gint64 now_us);
+struct attempt *attempt_find(const struct policy_query *query, gint64 number);
+void attempt_close(struct policy_query *query, struct attempt *attempt,
+		   enum policy_result result, gint64 now_us);
+void attempt_cancel(struct policy_query *query, struct attempt *attempt,
+		    enum policy_result result, gint64 now_us);
+void query_cancel_open(struct policy_query *query, const struct shard *shard,
+		       gint64 now_us);
+
+/* finish.c */
+void query_finish(struct policy_query *query, gint64 now_us);
+void query_set_waiter(struct policy_query *query, bool waits, gint64 now_us);
+
 /* merge.c: all hits of the answered shards, in total order, without doubles. */
 GPtrArray *merge_hits(struct policy_query *query);
 
--- /dev/null
+++ b/test/unit/query_run.c
@@ -0,0 +1,204 @@
+/* One query of a small fleet, driven step by step. */
+#include "query_run.h"
+
+#include <math.h>
+
+void run_drain(struct run *run)
+{
+	struct policy_action action;
+
+	while (policy_query_next(run->query, &action)) {
+		ck_assert(!run->finished);
+		switch (action.kind) {
+		case POLICY_SEND:
+			g_array_append_val(run->sent, action);
+			run->n_sent++;
+			break;
+		case POLICY_CANCEL:
+			run->dropped = true;
+			for (guint i = run->sent->len; i > 0; i--) {
+				if (g_array_index(run->sent,
+						  struct policy_action, i - 1)
+					    .attempt == action.attempt)
+					g_array_remove_index(run->sent, i - 1);
+			}
+			break;
+		case POLICY_FINISH:
+			run->finished = true;
+			break;
+		}
+	}
+}
+
+void run_begin(struct run *run, double least_coverage)
+{
+	struct policy_ask ask = {
+		.request_id = "r",
+		.limit = 10,
+		.deadline_us = run->world.now_us + DEADLINE,
+		.least_coverage = least_coverage,
+	};
+	int error;
+
+	run->sent = g_array_new(FALSE, FALSE, sizeof(struct policy_action));
+	run->query = policy_query_create(run->world.fleet, run->world.service,
+					 run->world.counters, &ask,
+					 run->world.now_us, &error);
+	ck_assert_int_eq(error, 0);
+	run_drain(run);
+}
+
+struct run run_start(guint shards, guint replicas, double least_coverage)
+{
+	struct run run = {.world = world_create(shards, replicas)};
+
+	world_warm(&run.world);
+	run_begin(&run, least_coverage);
+	return run;
+}
+
+void run_end(struct run *run)
+{
+	policy_query_destroy(run->query, run->world.now_us);
+	g_array_unref(run->sent);
+	world_destroy(&run->world);
+}
+
+struct policy_action run_pop(struct run *run)
+{
+	struct policy_action action =
+		g_array_index(run->sent, struct policy_action, 0);
+
+	ck_assert_uint_gt(run->sent->len, 0);
+	g_array_remove_index(run->sent, 0);
+	return action;
+}
+
+void run_answer(struct run *run, const struct policy_action *action,
+		gint64 searched)
+{
+	policy_query_answered(run->query, action->attempt,
+			      world_answer(action, searched),
+			      run->world.now_us);
+	run_drain(run);
+}
+
+void run_lose(struct run *run, const struct policy_action *action,
+	      enum policy_result result)
+{
+	policy_query_failed(run->query, action->attempt, result,
+			    run->world.now_us);
+	run_drain(run);
+}
+
+void run_pass(struct run *run, gint64 delta_us)
+{
+	world_pass(&run->world, delta_us);
+	policy_query_tick(run->query, run->world.now_us);
+	run_drain(run);
+}
+
+const struct policy_answer *run_result(const struct run *run)
+{
+	ck_assert(run->finished);
+	return policy_query_result(run->query);
+}
+
+void run_add_hit(struct policy_part *part, const char *id, double score)
+{
+	struct policy_hit *hit = g_new0(struct policy_hit, 1);
+
+	hit->id = g_strdup(id);
+	hit->score = score;
+	g_ptr_array_add(part->hits, hit);
+}
+
+static void replace(char **text, const char *value)
+{
+	g_free(*text);
+	*text = g_strdup(value);
+}
+
+static struct policy_part *bad_answer(const struct policy_action *action,
+				      enum fault fault)
+{
+	struct policy_part *part = world_answer(action, 100);
+
+	switch (fault) {
+	case F_WRONG_ID:
+		replace(&part->request_id, "q");
+		break;
+	case F_WRONG_ATTEMPT:
+		part->attempt++;
+		break;
+	case F_WRONG_SHARD:
+		replace(&part->shard, "7");
+		break;
+	case F_WRONG_SNAPSHOT:
+		replace(&part->snapshot, "s2");
+		break;
+	case F_WRONG_MAP:
+		part->map++;
+		break;
+	case F_OVER_COUNT:
+		part->searched = 101;
+		break;
+	case F_NEGATIVE:
+		part->searched = -1;
+		break;
+	case F_OTHER_SIZE:
+		part->documents = 200;
+		break;
+	case F_DOUBLED_HIT:
+		run_add_hit(part, "x", 1);
+		run_add_hit(part, "x", 1);
+		break;
+	case F_MORE_HITS_THAN_ASKED:
+		for (char id[2] = "a"; *id < 'l'; (*id)++)
+			run_add_hit(part, id, 1);
+		break;
+	case F_NAN:
+		run_add_hit(part, "x", (double)NAN);
+		break;
+	default:
+		break;
+	}
+	return part;
+}
+
+/* Proof that the attempt did not run. */
+bool run_is_proof(enum fault fault)
+{
+	return fault == F_UNSENT || fault == F_REFUSED || fault == F_LACKS ||
+	       fault == F_MOVED;
+}
+
+void run_inject(struct run *run, const struct policy_action *action,
+		enum fault fault)
+{
+	switch (fault) {
+	case F_UNSENT:
+		run_lose(run, action, POLICY_UNSENT);
+		break;
+	case F_REFUSED:
+		run_lose(run, action, POLICY_REFUSED);
+		break;
+	case F_LACKS:
+		run_lose(run, action, POLICY_LACKS);
+		break;
+	case F_MOVED:
+		run_lose(run, action, POLICY_MOVED);
+		break;
+	case F_LOST:
+		run_lose(run, action, POLICY_LOST);
+		break;
+	case F_TIMEOUT:
+		run_pass(run, 100 * MS);
+		break;
+	default:
+		policy_query_answered(run->query, action->attempt,
+				      bad_answer(action, fault),
+				      run->world.now_us);
+		run_drain(run);
+	}
+}
