--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -292,7 +292,8 @@
 
 static bool refuse_early(struct request *request)
 {
-	if (strcmp(text_of(request->body, "incarnation"), own.incarnation)) {
+	if (strcmp(text_of(request->body, "incarnation"), own.incarnation) !=
+	    0) {
 		refuse(request, 409, true, "Cuminsail-Other-Incarnation");
 	} else if (is_fault("refuse")) {
 		refuse(request, 503, true, NULL);
