The pairs of faults: let the event meet a replica that is still to be asked

Cause: the upstream that left had already been asked, or was never the next. The event now hits the replica of shard 0 that was not asked yet, and the second fault ends one attempt of each shard.

The lie is s9 now, which no pin ever is.

--- a/test/unit/query_run.c
+++ b/test/unit/query_run.c
@@ -135,7 +135,7 @@
 		replace(&part->shard, "7");
 		break;
 	case F_WRONG_SNAPSHOT:
-		replace(&part->snapshot, "s2");
+		replace(&part->snapshot, "s9");
 		break;
 	case F_WRONG_MAP:
 		part->map++;
--- a/test/unit/test_pairs.c
+++ b/test/unit/test_pairs.c
@@ -7,13 +7,13 @@
 enum event {
 	E_NONE,
 	E_ZONE_OUT, /* operators take zone "b" out */
-	E_LEAVING, /* the list says that s0-1 leaves */
-	E_WORD, /* s0-1 says so itself */
-	E_VANISH, /* the list lacks s0-1 */
+	E_LEAVING, /* the list says that the target leaves */
+	E_WORD, /* the target says so itself */
+	E_VANISH, /* the list lacks the target */
 	E_SNAPSHOT, /* every upstream holds s2 beside s1 */
 	E_SNAPSHOT_ONLY, /* every upstream holds s2, none s1 */
 	E_REPARTITION, /* s1 has another map */
-	E_INCARNATION, /* s0-1 was restarted */
+	E_INCARNATION, /* the target was restarted */
 	E_CONFIG, /* another cap of connections */
 	E_PAUSE, /* this daemon sleeps for a while */
 	E_SLEEP, /* this daemon sleeps past the deadline */
@@ -23,6 +23,7 @@
 struct pair {
 	struct run run;
 	enum event event;
+	const char *target; /* replica of shard 0 that was not asked before */
 	bool happened;
 	bool proofs_only;
 	GArray *good; /* struct policy_action of attempts answered well */
@@ -62,9 +63,9 @@
 	ck_assert_int_eq(world_publish_list(world), 0);
 }
 
-static void happen(struct world *world, enum event event)
+static void happen(struct world *world, enum event event, const char *target)
 {
-	struct policy_upstream *upstream = world_upstream(world, "s0-1");
+	struct policy_upstream *upstream = world_upstream(world, target);
 	struct policy_word draining = {.draining = true};
 	struct policy_word restarted = {.incarnation = "i2"};
 	json_t *zones = json_object_get(world->config, "zones");
@@ -76,7 +77,7 @@
 		world_publish_config(world);
 		break;
 	case E_LEAVING:
-		json_object_set_new(world_listed(world, "s0-1"), "leaving",
+		json_object_set_new(world_listed(world, target), "leaving",
 				    json_true());
 		ck_assert_int_eq(world_publish_list(world), 0);
 		break;
@@ -84,7 +85,7 @@
 		policy_upstream_heard(world->fleet, upstream, &draining);
 		break;
 	case E_VANISH:
-		remove_listed(world, "s0-1");
+		remove_listed(world, target);
 		break;
 	case E_SNAPSHOT:
 		set_snapshots(world, true);
@@ -135,7 +136,7 @@
 	case E_LEAVING:
 	case E_WORD:
 	case E_VANISH:
-		ck_assert_str_ne(upstream->id, "s0-1");
+		ck_assert_str_ne(upstream->id, pair->target);
 		break;
 	case E_SLEEP:
 		ck_abort_msg("sent after the deadline");
@@ -181,6 +182,19 @@
 	return 100 * (done[0] + done[1]);
 }
 
+/* The replica of shard 0 in zone "b" that the query has not asked yet. */
+static const char *find_target(const struct pair *pair)
+{
+	for (guint i = 0; i < pair->run.sent->len; i++) {
+		const struct policy_action *action =
+			&g_array_index(pair->run.sent, struct policy_action, i);
+
+		if (!strcmp(action->upstream->id, "s0-1"))
+			return "s0-2";
+	}
+	return "s0-1";
+}
+
 static void check_pair(enum fault first, enum event event, enum fault second)
 {
 	struct pair pair = {
@@ -194,8 +208,11 @@
 
 	end_one(&pair, first, G_MAXUINT);
 	before = pair.run.n_sent;
-	happen(&pair.run.world, event);
+	pair.target = find_target(&pair);
+	happen(&pair.run.world, event, pair.target);
 	pair.happened = true;
+	/* One for each shard, so that shard 0 has to ask its last replica. */
+	end_one(&pair, second, before);
 	end_one(&pair, second, before);
 	for (guint i = 0; i < 20 && !pair.run.finished; i++) {
 		end_one(&pair, F_NONE, before);
