Close connections that never send a whole head

Cause: the time limit of a sender began with its headers, so that a caller who never ended them held a connection for ever.

Left: a flood of headers is cut by the library and counted by nobody.

--- a/include/cuminsail/config.h
+++ b/include/cuminsail/config.h
@@ -267,6 +267,7 @@
 	gint64 body_max; /* bytes of a caller's request */
 	gint64 answer_max; /* bytes of an upstream's answer */
 	gint64 receive_ms; /* longest a caller may take to send */
+	gint64 idle_ms; /* longest wait for a request's headers */
 	gint64 tickets_max; /* records of orders held at once */
 	gint64 ticket_ms; /* life of a ticket */
 	gint64 record_ms; /* how long a record outlives its ticket */
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -65,7 +65,7 @@
 		"peers": [{"id": "$5", "address": "127.0.0.1", "port": $(($6 + 2))}]
 	},
 	"limits": {"drain_ms": 500, "stop_ms": 10000, "ready_peers": 1,
-		"body_max": 8192, "receive_ms": 1000}
+		"body_max": 8192, "receive_ms": 1000, "idle_ms": 2500}
 }
 END
 }
--- a/src/libcaller/server.c
+++ b/src/libcaller/server.c
@@ -16,6 +16,7 @@
 #define STATUS_UNAVAIL 503
 
 enum exchange_state {
+	EXCHANGE_IDLE, /* no headers yet */
 	EXCHANGE_READING,
 	EXCHANGE_WORKING, /* the owner has it */
 	EXCHANGE_REPLIED,
@@ -79,7 +80,8 @@
 	cs_timer_disarm(server->clock, &exchange->receive_timer);
 	stop_watch(exchange);
 	LIST_REMOVE(exchange, link);
-	server->open--;
+	if (exchange->state != EXCHANGE_IDLE)
+		server->open--;
 	g_signal_handlers_disconnect_by_data(exchange->message, exchange);
 	g_object_unref(exchange->message);
 	g_byte_array_unref(exchange->body);
@@ -223,8 +225,10 @@
 {
 	struct caller_exchange *exchange = exchange_of(timer);
 
-	cs_counters_refuse(exchange->server->counters, CS_E_SLOW);
-	cs_log(LOG_NOTICE, "slow-sender", "request", exchange->id, NULL);
+	if (exchange->state != EXCHANGE_IDLE)
+		cs_counters_refuse(exchange->server->counters, CS_E_SLOW);
+	cs_log(exchange->state == EXCHANGE_IDLE ? LOG_DEBUG : LOG_NOTICE,
+	       "slow-sender", "request", exchange->id, NULL);
 	close_socket(exchange);
 }
 
@@ -266,24 +270,40 @@
 	exchange->receive_timer.fire = on_receive_timeout;
 	make_id(exchange->id);
 	LIST_INSERT_HEAD(&server->exchanges, exchange, link);
-	server->open++;
 	return exchange;
 }
 
+/* A connection waits for the headers of a request. */
+static void on_started(SoupServer *soup, SoupServerMessage *message,
+		       gpointer user)
+{
+	struct caller_server *server = user;
+	struct caller_exchange *exchange = create_exchange(server, message);
+	gint64 now = cs_clock_now(server->clock);
+
+	g_signal_connect(message, "finished", G_CALLBACK(on_finished),
+			 exchange);
+	g_object_set_data(G_OBJECT(message), "exchange", exchange);
+	cs_timer_arm(server->clock, &exchange->receive_timer,
+		     now + server->settings->idle_ms * CS_US_PER_MS);
+}
+
 /* Headers are here, the body is not. */
 static void on_headers(SoupServer *soup, SoupServerMessage *message,
 		       const char *path, GHashTable *query, gpointer user)
 {
 	struct caller_server *server = user;
-	struct caller_exchange *exchange = create_exchange(server, message);
+	struct caller_exchange *exchange =
+		g_object_get_data(G_OBJECT(message), "exchange");
 	gint64 now = cs_clock_now(server->clock);
 
+	if (!exchange)
+		return;
+	exchange->state = EXCHANGE_READING;
+	server->open++;
 	soup_message_body_set_accumulate(
 		soup_server_message_get_request_body(message), FALSE);
 	g_signal_connect(message, "got-chunk", G_CALLBACK(on_chunk), exchange);
-	g_signal_connect(message, "finished", G_CALLBACK(on_finished),
-			 exchange);
-	g_object_set_data(G_OBJECT(message), "exchange", exchange);
 	cs_timer_arm(server->clock, &exchange->receive_timer,
 		     now + server->settings->receive_ms * CS_US_PER_MS);
 }
@@ -357,6 +377,8 @@
 	server->hooks = *hooks;
 	LIST_INIT(&server->exchanges);
 	server->soup = soup_server_new("server-header", "cuminsail", NULL);
+	g_signal_connect(server->soup, "request-started",
+			 G_CALLBACK(on_started), server);
 	soup_server_add_early_handler(server->soup, NULL, on_headers, server,
 				      NULL);
 	soup_server_add_handler(server->soup, NULL, on_request, server, NULL);
