Thin path on the platform: HTTP core, routes, forwarding, adapter

Cause: the daemon served nothing on the platform: it spoke only its own JSON interface, and libsoup repeats GETs by itself and takes truncated chunked bodies as whole. Change: src/libhttp (http-parser on one epoll set), src/libroute (tables, choice of replicas, budget, merging; pure), src/libforward (jobs, attempts, connections), platform/ (names, decoding, the store's range and watch), and deploy/. The JSON interface is untouched.

--- a/src/cuminsaild/main.c
+++ b/src/cuminsaild/main.c
@@ -4,6 +4,8 @@
 #include "cuminsail/error.h"
 #include "cuminsail/log.h"
 
+#include "forward.h"
+
 #include <argp.h>
 #include <glib-unix.h>
 #include <signal.h>
@@ -17,11 +19,14 @@
 struct arguments {
 	const char *settings;
 	bool check;
+	bool forward;
 	int log_level;
 };
 
 static const struct argp_option options[] = {
 	{"check", 'c', NULL, 0, "Check the settings and exit", 0},
+	{"forward", 'f', NULL, 0,
+	 "Forward HTTP requests by the routes of the platform", 0},
 	{"log-level", 'l', "PRIORITY", 0,
 	 "Log events up to this syslog priority, 0 to 7 (default 6)", 0},
 	{0},
@@ -36,6 +41,9 @@
 	case 'c':
 		arguments->check = true;
 		return 0;
+	case 'f':
+		arguments->forward = true;
+		return 0;
 	case 'l':
 		arguments->log_level = (int)strtol(value, &end, 10);
 		if (*end || arguments->log_level < 0 ||
@@ -138,6 +146,8 @@
 	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
 	cs_log_set_level(arguments.log_level);
 	signal(SIGPIPE, SIG_IGN);
+	if (arguments.forward)
+		return forward_run(arguments.settings, arguments.check);
 	settings = read_settings(arguments.settings);
 	if (!settings)
 		return EXIT_SETTINGS;
--- /dev/null
+++ b/src/libforward/engine.c
@@ -0,0 +1,376 @@
+/* A forwarding daemon's life: starting, taking up the picture, stopping. */
+#include "internal.h"
+
+#include "cuminsail/error.h"
+#include "cuminsail/log.h"
+
+#include <string.h>
+
+/* Upkeep: lapsed replicas, idle connections, waiting parts. */
+#define TICK_US (50 * CS_US_PER_MS)
+
+/* A tick this late means that the process slept. */
+#define ASLEEP_US (1 * CS_US_PER_S)
+
+/* The balancer asks each second and gives up after two misses; until then it
+ * still sends new connections. */
+#define LEAVE_US (2500 * CS_US_PER_MS)
+
+/* What is cut at the end is cut this long before the kill. */
+#define KILL_MARGIN_US (500 * CS_US_PER_MS)
+
+/* Largest answer of a replica that is taken. */
+#define ANSWER_BYTES_MAX (8 * 1024 * 1024)
+#define ANSWER_HEAD_MAX	 65536
+
+/* Bounds for callers until the first table names its own. */
+#define HEAD_BYTES_FIRST 16384
+#define BODY_BYTES_FIRST 262144
+#define HEAD_MS_FIRST	 3000
+#define IDLE_MS_FIRST	 15000
+
+#define engine_of(timer, member)                                               \
+	((struct forward_engine *)((char *)(timer)-offsetof(                   \
+		struct forward_engine, member)))
+
+/* ---- requests ---- */
+
+static void refuse_early(struct forward_engine *engine,
+			 struct http1_exchange *exchange,
+			 const struct http1_message *request, int code)
+{
+	const char *id =
+		http1_message_get(request, engine->dialect->request_id);
+	const char *host = http1_message_get(request, "Host");
+	struct http1_reply reply = {.status = cs_error_http(code)};
+	char version[32];
+
+	if (reply.status == 503)
+		reply.lines = "Retry-After: 0.5\r\n";
+	cs_counters_refuse(engine->counters, code);
+	g_snprintf(version, sizeof(version), "%" G_GINT64_FORMAT,
+		   engine->table ? engine->table->version : 0);
+	cs_log(LOG_INFO, "refused", "id", id, "host", host, "path",
+	       request->target->str, "version", version, "current",
+	       engine->current ? "yes" : "no", "reason", cs_error_name(code),
+	       NULL);
+	http1_exchange_reply(exchange, &reply);
+}
+
+static void on_request(struct http1_exchange *exchange,
+		       const struct http1_message *request, void *user)
+{
+	struct forward_engine *engine = user;
+	const char *host = http1_message_get(request, "Host");
+	struct route *route = NULL;
+	int code = 0;
+
+	cs_counters_add(engine->counters, CS_N_QUERIES, 1);
+	if (engine->table)
+		route = route_table_find(engine->table, host ? host : "",
+					 request->target->str);
+	if (!http1_message_get(request, engine->dialect->request_id))
+		code = CS_E_HEADER;
+	else if (!engine->table)
+		code = CS_E_NOT_READY;
+	else if (!route)
+		code = engine->current ? CS_E_ROUTE : CS_E_NOT_READY;
+	if (code)
+		refuse_early(engine, exchange, request, code);
+	else
+		forward_job_begin(engine, exchange, request, route);
+}
+
+static void on_gone(struct http1_exchange *exchange, void *user)
+{
+	struct forward_job *job = http1_exchange_data(exchange);
+
+	if (job)
+		forward_job_abandon(job);
+}
+
+static void on_refused(guint status, void *user)
+{
+	struct forward_engine *engine = user;
+	int code = status == 408 ? CS_E_SLOW :
+		   status == 400 ? CS_E_HEADER :
+				   CS_E_TOO_LARGE;
+
+	cs_counters_refuse(engine->counters, code);
+	cs_log(LOG_NOTICE, "refused", "reason", cs_error_name(code), NULL);
+}
+
+/* ---- pages ---- */
+
+static bool is_ready(const struct forward_engine *engine)
+{
+	return engine->phase == FORWARD_SERVING && engine->table &&
+	       route_fleet_count(engine->fleet) > 0;
+}
+
+static void on_ready_request(struct http1_exchange *exchange,
+			     const struct http1_message *request, void *user)
+{
+	struct forward_engine *engine = user;
+	struct http1_reply reply = {.status = 404};
+
+	if (!strcmp(request->target->str, engine->dialect->ready_path))
+		reply.status = is_ready(engine) ? 200 : 503;
+	http1_exchange_reply(exchange, &reply);
+}
+
+static void on_metrics_request(struct http1_exchange *exchange,
+			       const struct http1_message *request, void *user)
+{
+	struct forward_engine *engine = user;
+	g_autofree char *text = cs_counters_print(engine->counters);
+	struct http1_reply reply = {
+		.status = 200,
+		.lines = "Content-Type: text/plain; version=0.0.4\r\n",
+		.body = text,
+		.length = strlen(text),
+	};
+
+	http1_exchange_reply(exchange, &reply);
+}
+
+static void on_page_gone(struct http1_exchange *exchange, void *user)
+{
+}
+
+/* ---- the picture ---- */
+
+gint64 forward_now(const struct forward_engine *engine)
+{
+	return cs_clock_now(engine->clock);
+}
+
+struct route_fleet *forward_engine_fleet(struct forward_engine *engine)
+{
+	return engine->fleet;
+}
+
+struct cs_counters *forward_engine_counters(struct forward_engine *engine)
+{
+	return engine->counters;
+}
+
+static void take_limits(struct forward_engine *engine,
+			const struct route_limits *limits)
+{
+	struct http1_server_limits *own = &engine->caller_limits;
+
+	own->message.header_bytes = (gsize)limits->header_bytes;
+	own->message.body_bytes = (gsize)limits->body_bytes;
+	own->head_us = limits->head_ms * CS_US_PER_MS;
+	own->idle_us = limits->idle_ms * CS_US_PER_MS;
+}
+
+void forward_engine_set_table(struct forward_engine *engine,
+			      struct route_table *table)
+{
+	char version[32];
+
+	g_snprintf(version, sizeof(version), "%" G_GINT64_FORMAT,
+		   table->version);
+	if (engine->table && table->version <= engine->table->version) {
+		cs_counters_add(engine->counters, CS_N_CONFIG_STALE, 1);
+		cs_log(LOG_INFO, "table-left", "version", version, "reason",
+		       "not-newer", NULL);
+		return;
+	}
+	route_table_unref(engine->table);
+	engine->table = route_table_ref(table);
+	route_fleet_set_table(engine->fleet, table);
+	take_limits(engine, &table->limits);
+	cs_counters_add(engine->counters, CS_N_CONFIG_ACCEPTED, 1);
+	cs_log(LOG_NOTICE, "table-taken", "version", version, NULL);
+}
+
+void forward_engine_set_current(struct forward_engine *engine, bool current)
+{
+	if (engine->current == current)
+		return;
+	engine->current = current;
+	cs_log(LOG_NOTICE,
+	       current ? "platform-regained" : "platform-lost", NULL);
+}
+
+void forward_engine_poke(struct forward_engine *engine)
+{
+	struct forward_part *part;
+	struct forward_part *next;
+
+	if (engine->poking)
+		return;
+	engine->poking = true;
+	for (part = TAILQ_FIRST(&engine->waiting); part; part = next) {
+		next = TAILQ_NEXT(part, waiting);
+		forward_part_try(part);
+		/* The job looks at the outcome in a turn of its own. */
+		if (part->state != PART_WAITING)
+			cs_timer_arm(engine->clock, &part->job->timer,
+				     forward_now(engine));
+	}
+	engine->poking = false;
+}
+
+static void poke_later(void *user)
+{
+	struct forward_engine *engine = user;
+
+	engine->poke_due = false;
+	forward_engine_poke(engine);
+}
+
+void forward_room(struct forward_engine *engine)
+{
+	if (engine->poke_due || TAILQ_EMPTY(&engine->waiting))
+		return;
+	engine->poke_due = true;
+	http1_loop_defer(engine->loop, poke_later, engine);
+}
+
+/* ---- upkeep and stopping ---- */
+
+static void end_stop(struct forward_engine *engine)
+{
+	g_autofree char *cut =
+		g_strdup_printf("%u", http1_server_open(engine->callers));
+
+	engine->phase = FORWARD_STOPPED;
+	cs_log(LOG_NOTICE, "stopped", "requests_cut", cut, NULL);
+	engine->stopped(engine->user);
+}
+
+static void look_at_stop(struct forward_engine *engine, gint64 now)
+{
+	gint64 spent = now - engine->stop_from_us;
+	gint64 limit =
+		engine->settings->stop_ms * CS_US_PER_MS - KILL_MARGIN_US;
+
+	if (engine->phase != FORWARD_DRAINING)
+		return;
+	if (spent >= limit ||
+	    (spent >= LEAVE_US && !http1_server_open(engine->callers)))
+		end_stop(engine);
+}
+
+static void on_tick(struct cs_timer *timer)
+{
+	struct forward_engine *engine = engine_of(timer, tick);
+	gint64 now = forward_now(engine);
+
+	if (now - timer->due_us > ASLEEP_US) {
+		g_autofree char *late =
+			g_strdup_printf("%" G_GINT64_FORMAT,
+					(now - timer->due_us) / CS_US_PER_MS);
+
+		cs_counters_add(engine->counters, CS_N_PAUSES, 1);
+		cs_log(LOG_WARNING, "woke-late", "late_ms", late, NULL);
+	}
+	route_fleet_expire(engine->fleet, now);
+	forward_links_sweep(engine);
+	forward_engine_poke(engine);
+	cs_timer_arm(engine->clock, timer, now + TICK_US);
+	look_at_stop(engine, now);
+}
+
+void forward_engine_stop(struct forward_engine *engine)
+{
+	if (engine->phase != FORWARD_SERVING) {
+		end_stop(engine);
+		return;
+	}
+	engine->phase = FORWARD_DRAINING;
+	engine->stop_from_us = forward_now(engine);
+	http1_server_drain(engine->callers);
+	cs_log(LOG_NOTICE, "draining", NULL);
+}
+
+/* ---- starting ---- */
+
+static bool open_servers(struct forward_engine *engine)
+{
+	const struct forward_settings *settings = engine->settings;
+	struct http1_server_hooks callers = {on_request, on_gone, on_refused,
+					     engine};
+	struct http1_server_hooks ready = {on_ready_request, on_page_gone, NULL,
+					   engine};
+	struct http1_server_hooks metrics = {on_metrics_request, on_page_gone,
+					     NULL, engine};
+
+	engine->callers = http1_server_create(engine->loop, &settings->caller,
+					      &engine->caller_limits, &callers);
+	engine->ready = http1_server_create(engine->loop, &settings->ready,
+					    &engine->page_limits, &ready);
+	engine->metrics = http1_server_create(engine->loop, &settings->metrics,
+					      &engine->page_limits, &metrics);
+	return engine->callers && engine->ready && engine->metrics;
+}
+
+static void init_limits(struct forward_engine *engine)
+{
+	static const struct route_limits first = {
+		.header_bytes = HEAD_BYTES_FIRST,
+		.body_bytes = BODY_BYTES_FIRST,
+		.head_ms = HEAD_MS_FIRST,
+		.idle_ms = IDLE_MS_FIRST,
+	};
+
+	take_limits(engine, &first);
+	engine->caller_limits.connections = engine->settings->connections;
+	engine->page_limits = engine->caller_limits;
+	engine->answer_limits.header_bytes = ANSWER_HEAD_MAX;
+	engine->answer_limits.body_bytes = ANSWER_BYTES_MAX;
+}
+
+struct forward_engine *forward_engine_create(
+	struct http1_loop *loop, const struct forward_settings *settings,
+	const struct forward_dialect *dialect, void (*stopped)(void *user),
+	void *user)
+{
+	struct forward_engine *engine = g_new0(struct forward_engine, 1);
+
+	engine->loop = loop;
+	engine->clock = http1_loop_clock(loop);
+	engine->settings = settings;
+	engine->dialect = dialect;
+	engine->stopped = stopped;
+	engine->user = user;
+	engine->counters = cs_counters_create();
+	engine->fleet = route_fleet_create(settings->zone, settings->regions);
+	route_fleet_set_bounds(engine->fleet, &settings->bounds);
+	engine->head = g_string_sized_new(1024);
+	engine->tick.fire = on_tick;
+	TAILQ_INIT(&engine->jobs);
+	TAILQ_INIT(&engine->waiting);
+	TAILQ_INIT(&engine->links);
+	TAILQ_INIT(&engine->drained);
+	init_limits(engine);
+	if (!open_servers(engine)) {
+		forward_engine_destroy(engine);
+		return NULL;
+	}
+	cs_timer_arm(engine->clock, &engine->tick,
+		     forward_now(engine) + TICK_US);
+	cs_log(LOG_NOTICE, "started", "instance", settings->instance, "zone",
+	       settings->zone, NULL);
+	return engine;
+}
+
+void forward_engine_destroy(struct forward_engine *engine)
+{
+	if (!engine)
+		return;
+	cs_timer_disarm(engine->clock, &engine->tick);
+	http1_server_destroy(engine->callers);
+	http1_server_destroy(engine->ready);
+	http1_server_destroy(engine->metrics);
+	forward_links_free(engine);
+	route_table_unref(engine->table);
+	route_fleet_destroy(engine->fleet);
+	g_string_free(engine->head, TRUE);
+	cs_counters_destroy(engine->counters);
+	g_free(engine);
+}
--- /dev/null
+++ b/src/libforward/internal.h
@@ -0,0 +1,156 @@
+/* What the files of the package share. */
+#ifndef FORWARD_INTERNAL_H
+#define FORWARD_INTERNAL_H
+
+#include "cuminsail/forward.h"
+
+struct forward_connection;
+struct forward_job;
+struct forward_part;
+struct forward_link;
+
+/* One request to one replica. */
+struct forward_attempt {
+	struct route_attempt route;
+	TAILQ_ENTRY(forward_attempt) link; /* in its part */
+	struct forward_part *part; /* NULL once its answer is not wanted */
+	struct forward_connection *connection;
+	struct cs_timer drain; /* armed once the part is gone */
+	char *request_id;
+	gint64 hedge_us; /* when a second attempt pays; 0: never */
+	bool connected; /* the request may have left */
+};
+
+/* A connection to a replica: idle, or carrying one attempt. */
+struct forward_connection {
+	TAILQ_ENTRY(forward_connection) link; /* while idle */
+	struct forward_link *carrier;
+	struct http1_call *call;
+	struct forward_attempt *attempt; /* NULL while idle */
+	gint64 used_us; /* when it became idle */
+	gint64 until_us; /* when the replica may close it */
+};
+
+/* The whole answer of a replica to one part. */
+struct forward_answer {
+	guint status;
+	char *signature; /* or NULL */
+	GString *lines; /* header lines to pass on */
+	GByteArray *body;
+};
+
+/* What one of the services has to give for a job. */
+struct forward_part {
+	struct forward_job *job;
+	struct route_pool *pool;
+	TAILQ_HEAD(, forward_attempt) attempts;
+	TAILQ_ENTRY(forward_part) waiting; /* in the engine's list */
+	struct route_replica *tried[ROUTE_TRIED_MAX];
+	guint n_tried;
+	guint n_sent; /* attempts that count towards the route's bound */
+	struct forward_answer *failure; /* to pass on if nothing better comes */
+	struct forward_answer *answer;
+	gint64 waiting_since_us;
+	enum {
+		PART_OPEN,
+		PART_WAITING, /* no replica has room */
+		PART_DONE,
+		PART_FAILED,
+	} state;
+	int reason; /* result code of the last failure */
+	guint n_unproven; /* requests sent that may have run */
+};
+
+/* One request of a caller. */
+struct forward_job {
+	TAILQ_ENTRY(forward_job) link;
+	struct forward_engine *engine;
+	struct http1_exchange *exchange; /* NULL once the caller is gone */
+	struct route_table *table;
+	struct route *route;
+	const struct http1_message *request;
+	const char *request_id; /* in the request */
+	gint64 started_us;
+	gint64 objective_us;
+	gint64 deadline_us;
+	struct cs_timer timer;
+	guint n_parts;
+	guint n_done;
+	guint n_failed;
+	guint n_hedges;
+	guint n_retries;
+	bool closing; /* being answered: no new attempts */
+	struct forward_part parts[];
+};
+
+/* The connections to one replica. */
+struct forward_link {
+	struct route_replica *replica;
+	struct forward_engine *engine;
+	TAILQ_ENTRY(forward_link) entry;
+	TAILQ_HEAD(idle_connections, forward_connection) idle; /* the latest used first */
+};
+
+struct forward_engine {
+	struct http1_loop *loop;
+	struct cs_clock *clock;
+	const struct forward_settings *settings;
+	const struct forward_dialect *dialect;
+	struct cs_counters *counters;
+	struct route_fleet *fleet;
+	struct route_table *table;
+	struct http1_server *callers;
+	struct http1_server *ready;
+	struct http1_server *metrics;
+	struct http1_server_limits caller_limits;
+	struct http1_server_limits page_limits;
+	struct http1_limits answer_limits;
+	TAILQ_HEAD(, forward_job) jobs;
+	TAILQ_HEAD(, forward_part) waiting;
+	TAILQ_HEAD(, forward_link) links;
+	TAILQ_HEAD(, forward_attempt) drained;
+	struct cs_timer tick;
+	GString *head; /* reused for each request sent */
+	bool current; /* the source has confirmed the picture lately */
+	bool poking;
+	bool poke_due;
+	enum {
+		FORWARD_SERVING,
+		FORWARD_DRAINING,
+		FORWARD_STOPPED,
+	} phase;
+	gint64 stop_from_us;
+	void (*stopped)(void *user);
+	void *user;
+};
+
+gint64 forward_now(const struct forward_engine *engine);
+
+/* engine.c: a replica has room again. */
+void forward_room(struct forward_engine *engine);
+
+/* job.c */
+void forward_job_begin(struct forward_engine *engine,
+		       struct http1_exchange *exchange,
+		       const struct http1_message *request,
+		       struct route *route);
+void forward_job_abandon(struct forward_job *job);
+void forward_part_try(struct forward_part *part);
+void forward_part_answered(struct forward_part *part,
+			   struct forward_answer *answer);
+void forward_part_lost(struct forward_part *part, int reason, bool not_run);
+void forward_job_look(struct forward_job *job);
+
+/* link.c */
+bool forward_send(struct forward_part *part, struct route_replica *replica);
+void forward_attempt_drain(struct forward_attempt *attempt, gint64 limit_us);
+void forward_attempt_cut(struct forward_attempt *attempt);
+void forward_links_sweep(struct forward_engine *engine);
+void forward_links_free(struct forward_engine *engine);
+
+/* reply.c */
+void forward_reply(struct forward_job *job);
+void forward_refuse(struct forward_job *job, int code);
+void forward_answer_free(struct forward_answer *answer);
+
+#endif
--- /dev/null
+++ b/src/libforward/reply.c
@@ -0,0 +1,166 @@
+/* What a caller gets. */
+#include "internal.h"
+
+#include "cuminsail/error.h"
+#include "cuminsail/log.h"
+
+#include <string.h>
+
+/* After a refusal for want of room: about the time in which a request in
+ * progress ends. */
+#define RETRY_ROOM_MS 100
+
+/* After a refusal for want of a replica or a configuration: the time in which
+ * the platform's list changes. */
+#define RETRY_PICTURE_MS 500
+
+static void log_end(const struct forward_job *job, const char *outcome,
+		    guint status)
+{
+	gint64 spent = forward_now(job->engine) - job->started_us;
+	char code[16];
+	char version[32];
+	char parts[32];
+	char extra[32];
+	char ms[32];
+
+	g_snprintf(code, sizeof(code), "%u", status);
+	g_snprintf(version, sizeof(version), "%" G_GINT64_FORMAT,
+		   job->table->version);
+	g_snprintf(parts, sizeof(parts), "%u/%u", job->n_done, job->n_parts);
+	g_snprintf(extra, sizeof(extra), "%u+%u", job->n_hedges,
+		   job->n_retries);
+	g_snprintf(ms, sizeof(ms), "%.1f", (double)spent / CS_US_PER_MS);
+	cs_log(LOG_INFO, "request", "id", job->request_id, "route",
+	       job->route->name, "version", version, "outcome", outcome,
+	       "status", code, "parts", parts, "hedges+retries", extra,
+	       "elapsed_ms", ms, NULL);
+}
+
+static void pass_on(struct forward_job *job, const struct forward_answer *answer)
+{
+	struct http1_reply reply = {
+		.status = answer->status,
+		.lines = answer->lines->str,
+		.body = answer->body->data,
+		.length = answer->body->len,
+	};
+
+	http1_exchange_reply(job->exchange, &reply);
+}
+
+static void reply_merged(struct forward_job *job)
+{
+	const struct forward_dialect *dialect = job->engine->dialect;
+	struct route_merge *merge =
+		route_merge_create(job->route->fanout.top_k);
+	GString *lines = g_string_sized_new(1024);
+	const char *between = "";
+	struct http1_reply reply = {.status = 200};
+	GByteArray *body;
+
+	g_string_printf(lines, "%s: %s\r\n%s: ", dialect->request_id,
+			job->request_id, dialect->part_signatures);
+	for (guint i = 0; i < job->n_parts; i++) {
+		const struct forward_answer *answer = job->parts[i].answer;
+
+		if (job->parts[i].state != PART_DONE)
+			continue;
+		route_merge_add(merge, answer->body->data, answer->body->len);
+		g_string_append(lines, between);
+		g_string_append(lines, answer->signature);
+		between = ", ";
+	}
+	g_string_append_printf(lines, "\r\n%s: %u\r\n", dialect->parts_missing,
+			       job->n_parts - job->n_done);
+	g_string_append(lines, "Content-Type: application/octet-stream\r\n");
+	body = route_merge_finish(merge);
+	reply.lines = lines->str;
+	reply.body = body->data;
+	reply.length = body->len;
+	http1_exchange_reply(job->exchange, &reply);
+	g_byte_array_unref(body);
+	g_string_free(lines, TRUE);
+}
+
+void forward_reply(struct forward_job *job)
+{
+	struct cs_counters *counters = job->engine->counters;
+	bool full = job->n_done == job->n_parts;
+	guint status = 200;
+
+	cs_counters_add(counters, full ? CS_N_ANSWERED : CS_N_PARTIAL, 1);
+	if (job->route->target != ROUTE_FANOUT)
+		status = job->parts[0].answer->status;
+	log_end(job, full ? "answered" : "partial", status);
+	if (job->route->target == ROUTE_FANOUT)
+		reply_merged(job);
+	else
+		pass_on(job, job->parts[0].answer);
+}
+
+static bool may_have_run(const struct forward_job *job)
+{
+	for (guint i = 0; i < job->n_parts; i++) {
+		if (job->parts[i].n_unproven)
+			return true;
+	}
+	return false;
+}
+
+/* Whether a status promises that the request did not run. */
+static bool is_promise(guint status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/* The replica's own failure, if it may be passed on as it is. */
+static const struct forward_answer *own_failure(const struct forward_job *job)
+{
+	const struct forward_answer *failure = job->parts[0].failure;
+
+	if (job->route->target == ROUTE_FANOUT || !failure ||
+	    (failure->status >= 200 && failure->status < 300) ||
+	    is_promise(failure->status))
+		return NULL;
+	return failure;
+}
+
+static gint64 retry_after_ms(int code)
+{
+	return code == CS_E_NO_REPLICA || code == CS_E_NOT_READY ?
+		       RETRY_PICTURE_MS :
+		       RETRY_ROOM_MS;
+}
+
+static guint status_of(const struct forward_job *job, int code)
+{
+	if (!may_have_run(job))
+		return code == CS_E_DEADLINE ? 504 : 503;
+	return code == CS_E_DEADLINE ? 504 : 502;
+}
+
+void forward_refuse(struct forward_job *job, int code)
+{
+	const struct forward_answer *failure = own_failure(job);
+	char lines[256];
+	gsize used;
+	struct http1_reply reply = {.status = status_of(job, code)};
+
+	cs_counters_refuse(job->engine->counters, code);
+	log_end(job, cs_error_name(code),
+		failure ? failure->status : reply.status);
+	if (failure) {
+		pass_on(job, failure);
+		return;
+	}
+	used = (gsize)g_snprintf(lines, sizeof(lines), "%s: %.128s\r\n",
+				 job->engine->dialect->request_id,
+				 job->request_id);
+	if (reply.status == 503)
+		g_snprintf(lines + used, sizeof(lines) - used,
+			   "Retry-After: %.3f\r\n",
+			   (double)retry_after_ms(code) / 1000);
+	reply.lines = lines;
+	http1_exchange_reply(job->exchange, &reply);
+}
--- /dev/null
+++ b/src/libhttp/socket.c
@@ -0,0 +1,67 @@
+#include "socket.h"
+
+#include "cuminsail/error.h"
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* One read takes most answers whole: a part has a few KB. */
+#define READ_BYTES 65536
+
+/* Unacknowledged bytes end a connection after this time; a machine that is cut
+ * off sends no reset. Above three retransmissions on the longest path. */
+#define USER_TIMEOUT_MS 3000
+
+/* Keep-alive probes find an idle connection that went silent. */
+#define PROBE_IDLE_S	 5
+#define PROBE_INTERVAL_S 1
+#define PROBE_COUNT	 3
+
+enum http1_read http1_socket_read(int fd, const char **bytes, gsize *length,
+				  bool *drained)
+{
+	static char buffer[READ_BYTES];
+	ssize_t n = read(fd, buffer, sizeof(buffer));
+
+	*drained = true;
+	if (n < 0)
+		return errno == EAGAIN || errno == EINTR ? HTTP1_READ_NOTHING :
+							   HTTP1_READ_ERROR;
+	if (n == 0)
+		return HTTP1_READ_END;
+	*bytes = buffer;
+	*length = (gsize)n;
+	*drained = (gsize)n < sizeof(buffer);
+	return HTTP1_READ_BYTES;
+}
+
+int http1_socket_write(int fd, GByteArray *out)
+{
+	ssize_t n = send(fd, out->data, out->len, MSG_NOSIGNAL);
+
+	if (n < 0)
+		return errno == EAGAIN || errno == EINTR ? 0 : CS_E_IO;
+	if ((gsize)n == out->len)
+		g_byte_array_set_size(out, 0);
+	else
+		g_byte_array_remove_range(out, 0, (guint)n);
+	return 0;
+}
+
+static void set_option(int fd, int level, int option, int value)
+{
+	/* A kernel that refuses an option leaves its own default. */
+	(void)setsockopt(fd, level, option, &value, sizeof(value));
+}
+
+void http1_socket_tune(int fd)
+{
+	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
+	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S);
+	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, PROBE_COUNT);
+}
--- /dev/null
+++ b/src/libroute/fleet.c
@@ -0,0 +1,288 @@
+/* The replicas, their pools, and the zones that are taken out. */
+#include "fleet.h"
+
+#include <string.h>
+
+/* An entry that lapsed while its replica lives is back within 2 s of the
+ * store's return; the rest is for the notice to travel. */
+#define LAPSE_HOLD_US (2200 * CS_US_PER_MS)
+
+static void free_pool(void *data)
+{
+	struct route_pool *pool = data;
+
+	g_free(pool->name);
+	g_free(pool);
+}
+
+struct route_fleet *route_fleet_create(const char *zone, GHashTable *regions)
+{
+	struct route_fleet *fleet = g_new0(struct route_fleet, 1);
+
+	fleet->zone = g_strdup(zone);
+	fleet->regions = g_hash_table_ref(regions);
+	fleet->region = g_hash_table_lookup(regions, zone);
+	fleet->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					     free_pool);
+	fleet->replicas = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->evacuated = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, NULL);
+	return fleet;
+}
+
+static void detach(struct route_fleet *fleet, struct route_replica *replica)
+{
+	g_hash_table_remove(fleet->replicas, replica->id);
+	if (replica->lapsed_us)
+		fleet->lapsed--;
+	TAILQ_REMOVE(&replica->pool->replicas, replica, link);
+	replica->pool = NULL;
+	route_replica_unref(replica);
+}
+
+void route_fleet_destroy(struct route_fleet *fleet)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!fleet)
+		return;
+	g_hash_table_iter_init(&iter, fleet->replicas);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct route_replica *replica = value;
+
+		g_hash_table_iter_remove(&iter);
+		TAILQ_REMOVE(&replica->pool->replicas, replica, link);
+		replica->pool = NULL;
+		route_replica_unref(replica);
+	}
+	g_hash_table_unref(fleet->replicas);
+	g_hash_table_unref(fleet->pools);
+	g_hash_table_unref(fleet->evacuated);
+	g_hash_table_unref(fleet->regions);
+	route_table_unref(fleet->table);
+	g_free(fleet->zone);
+	g_free(fleet);
+}
+
+void route_fleet_set_bounds(struct route_fleet *fleet,
+			    const struct route_bounds *bounds)
+{
+	fleet->bounds = *bounds;
+}
+
+static void teach_pool(const struct route_fleet *fleet, struct route_pool *pool)
+{
+	const struct route_service *service = NULL;
+
+	if (fleet->table)
+		service = g_hash_table_lookup(fleet->table->services,
+					      pool->name);
+	if (!service)
+		return;
+	pool->connections_max = service->connections_max;
+	pool->cold_per_s = service->cold_per_s;
+}
+
+void route_fleet_set_table(struct route_fleet *fleet, struct route_table *table)
+{
+	GHashTableIter iter;
+	gpointer pool;
+
+	route_table_unref(fleet->table);
+	fleet->table = route_table_ref(table);
+	g_hash_table_iter_init(&iter, fleet->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		teach_pool(fleet, pool);
+}
+
+struct route_pool *route_fleet_pool(struct route_fleet *fleet,
+				    const char *service)
+{
+	struct route_pool *pool = g_hash_table_lookup(fleet->pools, service);
+
+	if (pool)
+		return pool;
+	pool = g_new0(struct route_pool, 1);
+	pool->fleet = fleet;
+	pool->name = g_strdup(service);
+	pool->connections_max = 1;
+	pool->budget = route_budget_max(fleet);
+	TAILQ_INIT(&pool->replicas);
+	g_hash_table_insert(fleet->pools, pool->name, pool);
+	teach_pool(fleet, pool);
+	return pool;
+}
+
+static enum route_distance distance_to(const struct route_fleet *fleet,
+				       const char *zone, const char *region)
+{
+	if (!strcmp(zone, fleet->zone))
+		return ROUTE_SAME_ZONE;
+	if (region && fleet->region && !strcmp(region, fleet->region))
+		return ROUTE_SAME_REGION;
+	return ROUTE_FAR;
+}
+
+static struct route_replica *create_replica(struct route_fleet *fleet,
+					    const struct route_entry *entry)
+{
+	struct route_replica *replica = g_new0(struct route_replica, 1);
+
+	g_ref_count_init(&replica->refs);
+	replica->id = g_strdup(entry->id);
+	replica->zone = g_strdup(entry->zone);
+	replica->region = g_hash_table_lookup(fleet->regions, entry->zone);
+	replica->distance = distance_to(fleet, entry->zone, replica->region);
+	replica->address = entry->address;
+	replica->incarnation = entry->incarnation;
+	replica->evacuated = g_hash_table_contains(fleet->evacuated,
+						   entry->zone);
+	TAILQ_INIT(&replica->open);
+	replica->pool = route_fleet_pool(fleet, entry->service);
+	TAILQ_INSERT_TAIL(&replica->pool->replicas, replica, link);
+	g_hash_table_insert(fleet->replicas, replica->id, replica);
+	return replica;
+}
+
+static bool is_same(const struct route_replica *replica,
+		    const struct route_entry *entry)
+{
+	return replica->incarnation == entry->incarnation &&
+	       replica->address.sin_port == entry->address.sin_port &&
+	       replica->address.sin_addr.s_addr ==
+		       entry->address.sin_addr.s_addr &&
+	       !strcmp(replica->pool->name, entry->service) &&
+	       !strcmp(replica->zone, entry->zone);
+}
+
+bool route_fleet_put(struct route_fleet *fleet, const struct route_entry *entry,
+		     gint64 now_us)
+{
+	struct route_replica *replica =
+		g_hash_table_lookup(fleet->replicas, entry->id);
+	bool changed = false;
+
+	if (replica && !is_same(replica, entry)) {
+		detach(fleet, replica);
+		replica = NULL;
+	}
+	if (!replica) {
+		replica = create_replica(fleet, entry);
+		changed = true;
+	}
+	if (replica->lapsed_us) {
+		replica->lapsed_us = 0;
+		fleet->lapsed--;
+		changed = true;
+	}
+	changed = changed || replica->leaving != entry->leaving;
+	replica->leaving = entry->leaving;
+	replica->slots = MAX(entry->slots, 1);
+	replica->cold_until_us =
+		entry->cold_us > 0 ? now_us + entry->cold_us : 0;
+	return changed;
+}
+
+bool route_fleet_remove(struct route_fleet *fleet, const char *id, bool hold,
+			gint64 now_us)
+{
+	struct route_replica *replica =
+		g_hash_table_lookup(fleet->replicas, id);
+
+	if (!replica || (replica->lapsed_us && hold))
+		return false;
+	if (replica->leaving || !hold) {
+		detach(fleet, replica);
+		return true;
+	}
+	replica->lapsed_us = MAX(now_us, 1);
+	fleet->lapsed++;
+	return true;
+}
+
+void route_fleet_expire(struct route_fleet *fleet, gint64 now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!fleet->lapsed)
+		return;
+	g_hash_table_iter_init(&iter, fleet->replicas);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct route_replica *replica = value;
+
+		if (!replica->lapsed_us ||
+		    now_us - replica->lapsed_us < LAPSE_HOLD_US)
+			continue;
+		g_hash_table_iter_remove(&iter);
+		detach(fleet, replica);
+	}
+}
+
+void route_fleet_evacuate(struct route_fleet *fleet, const char *zone, bool out)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (out)
+		g_hash_table_add(fleet->evacuated, g_strdup(zone));
+	else
+		g_hash_table_remove(fleet->evacuated, zone);
+	g_hash_table_iter_init(&iter, fleet->replicas);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct route_replica *replica = value;
+
+		if (!strcmp(replica->zone, zone))
+			replica->evacuated = out;
+	}
+}
+
+guint route_fleet_count(const struct route_fleet *fleet)
+{
+	return g_hash_table_size(fleet->replicas) - fleet->lapsed;
+}
+
+void route_fleet_each(struct route_fleet *fleet,
+		      void (*visit)(const char *id, void *user), void *user)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->replicas);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct route_replica *replica = value;
+
+		if (!replica->lapsed_us)
+			visit(replica->id, user);
+	}
+}
+
+struct route_replica *route_replica_ref(struct route_replica *replica)
+{
+	g_ref_count_inc(&replica->refs);
+	return replica;
+}
+
+void route_replica_unref(struct route_replica *replica)
+{
+	if (!replica || !g_ref_count_dec(&replica->refs))
+		return;
+	g_free(replica->id);
+	g_free(replica->zone);
+	g_free(replica);
+}
+
+bool route_replica_usable(const struct route_replica *replica, gint64 now_us)
+{
+	if (!replica->pool || replica->leaving || replica->evacuated ||
+	    replica->misplaced)
+		return false;
+	return !replica->lapsed_us ||
+	       now_us - replica->lapsed_us < LAPSE_HOLD_US;
+}
+
+const char *route_pool_name(const struct route_pool *pool)
+{
+	return pool->name;
+}
--- /dev/null
+++ b/src/libroute/fleet.h
@@ -0,0 +1,57 @@
+/* What the files of the package share. */
+#ifndef ROUTE_FLEET_H
+#define ROUTE_FLEET_H
+
+#include "cuminsail/route.h"
+
+struct route_pool {
+	struct route_fleet *fleet;
+	char *name;
+	TAILQ_HEAD(, route_replica) replicas;
+	gint64 connections_max;
+	double cold_per_s;
+	double work_us; /* moving average without the distance; 0: none yet */
+	double deviation_us; /* mean distance of a sample from its estimate */
+	double budget; /* extra requests left */
+};
+
+struct route_fleet {
+	char *zone;
+	const char *region;
+	GHashTable *regions;
+	GHashTable *pools; /* name to struct route_pool */
+	GHashTable *replicas; /* id to struct route_replica, listed or lapsed */
+	GHashTable *evacuated; /* set of zone names */
+	struct route_table *table;
+	struct route_bounds bounds;
+	guint lapsed;
+};
+
+/**
+ * route_expected_us - time until an idle replica's answer
+ * @pool: its pool
+ * @replica: a replica
+ * @now_us: the clock
+ *
+ * Return: microseconds.
+ */
+double route_expected_us(const struct route_pool *pool,
+			 const struct route_replica *replica, gint64 now_us);
+
+/**
+ * route_distance_us - round trip to a distance
+ * @distance: how far
+ *
+ * Return: microseconds.
+ */
+double route_distance_us(enum route_distance distance);
+
+/**
+ * route_budget_max - the most that a pool's budget can hold
+ * @fleet: a fleet
+ *
+ * Return: extra requests.
+ */
+double route_budget_max(const struct route_fleet *fleet);
+
+#endif
