Waiting parts: try each once per turn, bound a replaced connection

Cause: a part that found no room was taken out of the waiting queue and put back behind equal ones, so a turn over the queue never ended; the daemon spun until it was killed. A second connection that replaced a slow one had no limit.

--- a/src/libforward/job.c
+++ b/src/libforward/job.c
@@ -167,13 +167,12 @@
 	enum route_lack lack;
 	struct route_replica *replica;
 
-	leave_waiting(part);
 	replica = choose(part, &lack);
 	if (replica && send_to(part, replica))
-		return;
-	if (lack == ROUTE_LACK_REPLICA)
+		leave_waiting(part);
+	else if (lack == ROUTE_LACK_REPLICA)
 		fail_part(part, part->reason ? part->reason : CS_E_NO_REPLICA);
-	else
+	else if (part->state != PART_WAITING)
 		join_waiting(part);
 }
 
@@ -252,6 +251,7 @@
 	       attempt->route.replica->id, "reason", "connect-timeout", NULL);
 	forward_attempt_cut(attempt);
 	part->n_sent--;
+	part->reason = CS_E_LOST;
 	if (TAILQ_EMPTY(&part->attempts) && part->n_tried < ROUTE_TRIED_MAX)
 		forward_part_try(part);
 	else if (TAILQ_EMPTY(&part->attempts))
@@ -277,16 +277,19 @@
 	}
 	for (attempt = TAILQ_FIRST(&part->attempts);
 	     attempt && part->state == PART_OPEN; attempt = next) {
-		next = TAILQ_NEXT(attempt, link);
 		if (!attempt->connected) {
 			gint64 limit = attempt->route.sent_us + CONNECT_US;
 
-			if (now >= limit)
-				leave_connecting(part, attempt);
-			else
+			if (now < limit) {
 				due = MIN(due, limit);
+				next = TAILQ_NEXT(attempt, link);
+			} else {
+				leave_connecting(part, attempt);
+				next = TAILQ_FIRST(&part->attempts);
+			}
 			continue;
 		}
+		next = TAILQ_NEXT(attempt, link);
 		if (attempt->hedge_us && now >= attempt->hedge_us)
 			hedge(part, attempt, now);
 		if (attempt->hedge_us)
