Budget over a sliding window; no request taken in the last turn before the end

(2) The token bucket let only slack/daemons = 5 repeats through at once, though a window allows a fifth of its requests; resets of many connections ended in 502. Change: connections without a request are closed before the end is decided; the budget counts requests and repeats in 21 steps of a window.

--- a/include/cuminsail/http1.h
+++ b/include/cuminsail/http1.h
@@ -269,6 +269,23 @@
  */
 void http1_server_drain(struct http1_server *server);
 
+/**
+ * http1_server_retire - take no new request
+ * @server: a server; may be called again
+ *
+ * Stops listening and closes the connections on which no request has begun.
+ * The others are closed after their answer.
+ */
+void http1_server_retire(struct http1_server *server);
+
+/**
+ * http1_server_connections - connections that are not closed yet
+ * @server: a server
+ *
+ * Return: their number.
+ */
+guint http1_server_connections(const struct http1_server *server);
+
 /**
  * http1_server_open - exchanges that wait for their reply, or are written
  * @server: a server
--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -239,6 +239,7 @@
 struct route_bounds {
 	double budget_ratio; /* extra requests per request of callers */
 	double budget_slack; /* extra requests of all daemons in a window */
+	gint64 budget_window_us;
 	gint64 drain_us; /* a leaving replica serves on at least so long */
 	guint daemons; /* that may be up at once, all zones */
 	guint daemons_in_zone; /* of these, in the own zone */
@@ -424,8 +425,9 @@
 /**
  * route_pool_earn - a request of a caller arrived for this service
  * @pool: a pool
+ * @now_us: the clock
  */
-void route_pool_earn(struct route_pool *pool);
+void route_pool_earn(struct route_pool *pool, gint64 now_us);
 
 /** What extra load is wanted for. */
 enum route_extra {
@@ -437,18 +439,24 @@
  * route_pool_spend - ask for one extra request
  * @pool: a pool
  * @extra: what for; hedges leave a reserve for retries
+ * @now_us: the clock
+ *
+ * In every window the extra requests stay below the ratio of the callers'
+ * requests plus this daemon's part of the slack.
  *
  * Return: true if the budget had it.
  */
-bool route_pool_spend(struct route_pool *pool, enum route_extra extra);
+bool route_pool_spend(struct route_pool *pool, enum route_extra extra,
+		      gint64 now_us);
 
 /**
  * route_pool_budget - what is left of the budget
  * @pool: a pool
+ * @now_us: the clock
  *
  * Return: extra requests.
  */
-double route_pool_budget(const struct route_pool *pool);
+double route_pool_budget(struct route_pool *pool, gint64 now_us);
 
 /**
  * route_pool_name - the service
--- a/src/libforward/engine.c
+++ b/src/libforward/engine.c
@@ -92,9 +92,9 @@
 static void on_refused(guint status, void *user)
 {
 	struct forward_engine *engine = user;
-	int code = status == 408 ? CS_E_SLOW :
-		   status == 400 ? CS_E_HEADER :
-				   CS_E_TOO_LARGE;
+	int code = status == 408   ? CS_E_SLOW
+		   : status == 400 ? CS_E_HEADER
+				   : CS_E_TOO_LARGE;
 
 	cs_counters_refuse(engine->counters, code);
 	cs_log(LOG_NOTICE, "refused", "reason", cs_error_name(code), NULL);
@@ -192,8 +192,8 @@
 	if (engine->current == current)
 		return;
 	engine->current = current;
-	cs_log(LOG_NOTICE,
-	       current ? "platform-regained" : "platform-lost", NULL);
+	cs_log(LOG_NOTICE, current ? "platform-regained" : "platform-lost",
+	       NULL);
 }
 
 void forward_engine_poke(struct forward_engine *engine)
@@ -251,8 +251,11 @@
 
 	if (engine->phase != FORWARD_DRAINING)
 		return;
-	if (spent >= limit ||
-	    (spent >= LEAVE_US && !http1_server_open(engine->callers)))
+	if (spent < LEAVE_US)
+		return;
+	/* A request read after the decision to end would be cut. */
+	http1_server_retire(engine->callers);
+	if (spent >= limit || !http1_server_connections(engine->callers))
 		end_stop(engine);
 }
 
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -88,7 +88,8 @@
 	struct route_replica *replica;
 	struct forward_engine *engine;
 	TAILQ_ENTRY(forward_link) entry;
-	TAILQ_HEAD(idle_connections, forward_connection) idle; /* the latest used first */
+	TAILQ_HEAD(idle_connections, forward_connection)
+	idle; /* the latest used first */
 };
 
 struct forward_engine {
--- a/src/libforward/job.c
+++ b/src/libforward/job.c
@@ -33,7 +33,6 @@
 	((struct forward_job *)((char *)(pointer)-offsetof(struct forward_job, \
 							   member)))
 
-
 /* ---- ending ---- */
 
 static void leave_waiting(struct forward_part *part)
@@ -207,7 +206,8 @@
 		return;
 	if (!may_repeat || !may_send(part)) {
 		fail_part(part, reason);
-	} else if (!route_pool_spend(part->pool, ROUTE_RETRY)) {
+	} else if (!route_pool_spend(part->pool, ROUTE_RETRY,
+				     forward_now(job->engine))) {
 		cs_counters_add(job->engine->counters, CS_N_NO_BUDGET, 1);
 		fail_part(part, reason);
 	} else {
@@ -232,7 +232,7 @@
 	replica = choose(part, &lack);
 	if (!replica)
 		return;
-	if (!route_pool_spend(part->pool, ROUTE_HEDGE)) {
+	if (!route_pool_spend(part->pool, ROUTE_HEDGE, now)) {
 		cs_counters_add(job->engine->counters, CS_N_NO_BUDGET, 1);
 		attempt->hedge_us = now + HEDGE_AGAIN_US;
 		return;
@@ -391,8 +391,8 @@
 				      const struct http1_message *request,
 				      struct route *route)
 {
-	guint n = route->target == ROUTE_FANOUT ? route->fanout.services->len :
-						  1;
+	guint n =
+		route->target == ROUTE_FANOUT ? route->fanout.services->len : 1;
 	struct forward_job *job = g_malloc0(sizeof(struct forward_job) +
 					    n * sizeof(struct forward_part));
 
@@ -413,10 +413,10 @@
 		struct forward_part *part = &job->parts[i];
 
 		part->job = job;
-		part->pool = route_fleet_pool(engine->fleet,
-					      service_of(route, i));
+		part->pool =
+			route_fleet_pool(engine->fleet, service_of(route, i));
 		TAILQ_INIT(&part->attempts);
-		route_pool_earn(part->pool);
+		route_pool_earn(part->pool, job->started_us);
 	}
 	TAILQ_INSERT_TAIL(&engine->jobs, job, link);
 	http1_exchange_set_data(exchange, job);
--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -73,8 +73,8 @@
 {
 	struct forward_connection *connection = attempt->connection;
 
-	end_attempt(attempt, attempt->connected ? ROUTE_DROPPED :
-						  ROUTE_UNREACHED);
+	end_attempt(attempt,
+		    attempt->connected ? ROUTE_DROPPED : ROUTE_UNREACHED);
 	http1_call_close(connection->call);
 	free_connection(connection);
 }
@@ -269,10 +269,9 @@
 	attempt->route.sent_us = forward_now(engine);
 	if (attempt->part) {
 		attempt->part->n_unproven++;
-		attempt->hedge_us =
-			attempt->route.sent_us +
-			route_pool_hedge_us(attempt->part->pool,
-					    attempt->route.replica);
+		attempt->hedge_us = attempt->route.sent_us +
+				    route_pool_hedge_us(attempt->part->pool,
+							attempt->route.replica);
 		forward_job_look(attempt->part->job);
 	}
 }
@@ -292,9 +291,9 @@
 	}
 	part = attempt->part;
 	log_attempt(attempt, "attempt-lost",
-		    not_run		  ? "not-connected" :
-		    why == HTTP1_CLOSED ? "closed" :
-					    "broken",
+		    not_run		  ? "not-connected"
+		    : why == HTTP1_CLOSED ? "closed"
+					  : "broken",
 		    0);
 	end_attempt(attempt, not_run ? ROUTE_UNREACHED : ROUTE_FAILED);
 	free_connection(connection);
@@ -330,10 +329,9 @@
 	    !TAILQ_EMPTY(&carrier->idle))
 		close_idle(TAILQ_LAST(&carrier->idle, idle_connections));
 	connection->carrier = carrier;
-	connection->call = http1_call_open(carrier->engine->loop,
-					   &carrier->replica->address,
-					   &carrier->engine->answer_limits,
-					   &hooks);
+	connection->call = http1_call_open(
+		carrier->engine->loop, &carrier->replica->address,
+		&carrier->engine->answer_limits, &hooks);
 	if (!connection->call) {
 		g_free(connection);
 		return NULL;
--- a/src/libforward/reply.c
+++ b/src/libforward/reply.c
@@ -37,7 +37,8 @@
 	       "elapsed_ms", ms, NULL);
 }
 
-static void pass_on(struct forward_job *job, const struct forward_answer *answer)
+static void pass_on(struct forward_job *job,
+		    const struct forward_answer *answer)
 {
 	struct http1_reply reply = {
 		.status = answer->status,
@@ -128,9 +129,9 @@
 
 static gint64 retry_after_ms(int code)
 {
-	return code == CS_E_NO_REPLICA || code == CS_E_NOT_READY ?
-		       RETRY_PICTURE_MS :
-		       RETRY_ROOM_MS;
+	return code == CS_E_NO_REPLICA || code == CS_E_NOT_READY
+		       ? RETRY_PICTURE_MS
+		       : RETRY_ROOM_MS;
 }
 
 static guint status_of(const struct forward_job *job, int code)
--- a/src/libforward/settings.c
+++ b/src/libforward/settings.c
@@ -22,6 +22,7 @@
 	json_t *seeds;
 	double budget_ratio;
 	double budget_slack;
+	gint64 budget_window_ms;
 	double cold_overrun;
 	double cold_slack;
 	gint64 drain_ms;
@@ -45,6 +46,8 @@
 	{"seeds", CS_FIELD_ARRAY, AT(seeds), false, 0, 0},
 	{"budget_ratio", CS_FIELD_REAL, AT(budget_ratio), false, 0, 1},
 	{"budget_slack", CS_FIELD_REAL, AT(budget_slack), false, 0, 1000000},
+	{"budget_window_ms", CS_FIELD_INT, AT(budget_window_ms), false, 100,
+	 MS_MAX},
 	{"cold_overrun", CS_FIELD_REAL, AT(cold_overrun), false, 0, 100},
 	{"cold_slack", CS_FIELD_REAL, AT(cold_slack), false, 0, 1000000},
 	{"drain_ms", CS_FIELD_INT, AT(drain_ms), false, 0, MS_MAX},
@@ -58,6 +61,7 @@
 static const struct raw_settings defaults = {
 	.budget_ratio = 0.1,
 	.budget_slack = 10,
+	.budget_window_ms = 10000,
 	.cold_overrun = 1,
 	.drain_ms = 3000,
 	.stop_ms = 6000,
@@ -85,8 +89,10 @@
 
 	json_object_foreach (raw->zones, zone, region) {
 		if (!json_is_string(region)) {
-			cs_why(why, "settings.zones.%s: not the name of a "
-				    "region", zone);
+			cs_why(why,
+			       "settings.zones.%s: not the name of a "
+			       "region",
+			       zone);
 			return CS_E_TYPE;
 		}
 		g_hash_table_insert(out->regions, g_strdup(zone),
@@ -130,8 +136,8 @@
 		error = read_endpoint("metrics", raw->metrics, &out->metrics,
 				      why);
 	if (!error)
-		error = read_endpoint("platform", raw->platform,
-				      &out->platform, why);
+		error = read_endpoint("platform", raw->platform, &out->platform,
+				      why);
 	if (!error)
 		error = read_zones(raw, out, why);
 	if (!error)
@@ -148,6 +154,7 @@
 	out->connections = (guint)raw->connections;
 	out->bounds.budget_ratio = raw->budget_ratio;
 	out->bounds.budget_slack = raw->budget_slack;
+	out->bounds.budget_window_us = raw->budget_window_ms * CS_US_PER_MS;
 	out->bounds.drain_us = raw->drain_ms * CS_US_PER_MS;
 	out->bounds.daemons = (guint)raw->daemons;
 	out->bounds.daemons_in_zone = (guint)raw->daemons_in_zone;
@@ -179,12 +186,12 @@
 		return NULL;
 	}
 	out = g_new0(struct forward_settings, 1);
-	out->regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					     g_free);
+	out->regions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	out->seeds = g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
-	*error = cs_json_read(document, "settings", fields,
-			      G_N_ELEMENTS(fields), CS_UNKNOWN_REFUSE, &raw,
-			      why);
+	*error =
+		cs_json_read(document, "settings", fields, G_N_ELEMENTS(fields),
+			     CS_UNKNOWN_REFUSE, &raw, why);
 	if (!*error)
 		*error = read_all(&raw, out, why);
 	if (!*error)
--- a/src/libhttp/message.c
+++ b/src/libhttp/message.c
@@ -281,10 +281,17 @@
 static bool concerns_connection(const char *name)
 {
 	static const char *const names[] = {
-		"connection",	    "keep-alive",	  "te",
-		"proxy-connection", "proxy-authenticate", "proxy-authorization",
-		"trailer",	    "transfer-encoding",  "upgrade",
-		"content-length",   "expect",
+		"connection",
+		"keep-alive",
+		"te",
+		"proxy-connection",
+		"proxy-authenticate",
+		"proxy-authorization",
+		"trailer",
+		"transfer-encoding",
+		"upgrade",
+		"content-length",
+		"expect",
 	};
 
 	for (gsize i = 0; i < G_N_ELEMENTS(names); i++) {
--- a/src/libhttp/server.c
+++ b/src/libhttp/server.c
@@ -420,6 +420,27 @@
 	server->draining = true;
 }
 
+void http1_server_retire(struct http1_server *server)
+{
+	struct http1_exchange *exchange;
+	struct http1_exchange *next;
+
+	server->draining = true;
+	http1_loop_remove(server->loop, &server->listener);
+	for (exchange = TAILQ_FIRST(&server->exchanges); exchange;
+	     exchange = next) {
+		next = TAILQ_NEXT(exchange, link);
+		if (exchange->state == EXCHANGE_READING &&
+		    !http1_reader_started(exchange->reader))
+			end_exchange(exchange);
+	}
+}
+
+guint http1_server_connections(const struct http1_server *server)
+{
+	return server->connections;
+}
+
 guint http1_server_open(const struct http1_server *server)
 {
 	return server->open;
--- a/src/libhttp/socket.c
+++ b/src/libhttp/socket.c
@@ -27,8 +27,8 @@
 
 	*drained = true;
 	if (n < 0)
-		return errno == EAGAIN || errno == EINTR ? HTTP1_READ_NOTHING :
-							   HTTP1_READ_ERROR;
+		return errno == EAGAIN || errno == EINTR ? HTTP1_READ_NOTHING
+							 : HTTP1_READ_ERROR;
 	if (n == 0)
 		return HTTP1_READ_END;
 	*bytes = buffer;
--- a/src/libroute/choose.c
+++ b/src/libroute/choose.c
@@ -44,13 +44,6 @@
 #define HEDGE_DEVIATIONS 3.0
 #define HEDGE_MIN_US	 8000
 
-/* Share of the budget that hedges leave to retries. */
-#define HEDGE_RESERVE 0.25
-
-/* Share of the allowed ratio that is used: the rest covers requests that are
- * counted elsewhere in time. */
-#define BUDGET_USE 0.9
-
 /* Share of a replica's connections that its own zone's daemons get. */
 #define NEAR_SHARE 0.55
 
@@ -89,8 +82,8 @@
 	double weight;
 
 	if (!replica->sampled_us)
-		return replica->cold_until_us > now_us ? usual * COLD_FACTOR :
-							 usual;
+		return replica->cold_until_us > now_us ? usual * COLD_FACTOR
+						       : usual;
 	weight = say(now_us - replica->sampled_us);
 	return replica->latency_us * weight + usual * (1 - weight);
 }
@@ -241,37 +234,6 @@
 		   HEDGE_MIN_US);
 }
 
-/* ---- budget ---- */
-
-double route_budget_max(const struct route_fleet *fleet)
-{
-	return fleet->bounds.budget_slack / MAX(fleet->bounds.daemons, 1);
-}
-
-void route_pool_earn(struct route_pool *pool)
-{
-	pool->budget = MIN(pool->budget + pool->fleet->bounds.budget_ratio *
-						  BUDGET_USE,
-			   MAX(route_budget_max(pool->fleet), 1));
-}
-
-bool route_pool_spend(struct route_pool *pool, enum route_extra extra)
-{
-	double reserve = 0;
-
-	if (extra == ROUTE_HEDGE)
-		reserve = HEDGE_RESERVE * route_budget_max(pool->fleet);
-	if (pool->budget - reserve < 1)
-		return false;
-	pool->budget -= 1;
-	return true;
-}
-
-double route_pool_budget(const struct route_pool *pool)
-{
-	return pool->budget;
-}
-
 /* ---- attempts ---- */
 
 void route_attempt_begin(struct route_attempt *attempt,
@@ -295,8 +257,7 @@
 {
 	struct route_pool *pool = replica->pool;
 	double expected = route_expected_us(pool, replica, now_us);
-	double work =
-		MAX(sample - route_distance_us(replica->distance), 100.0);
+	double work = MAX(sample - route_distance_us(replica->distance), 100.0);
 
 	if (pool->work_us <= 0) {
 		pool->work_us = work;
--- a/src/libroute/fleet.c
+++ b/src/libroute/fleet.c
@@ -22,11 +22,11 @@
 	fleet->zone = g_strdup(zone);
 	fleet->regions = g_hash_table_ref(regions);
 	fleet->region = g_hash_table_lookup(regions, zone);
-	fleet->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					     free_pool);
+	fleet->pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
 	fleet->replicas = g_hash_table_new(g_str_hash, g_str_equal);
-	fleet->evacuated = g_hash_table_new_full(g_str_hash, g_str_equal,
-						 g_free, NULL);
+	fleet->evacuated =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return fleet;
 }
 
@@ -76,8 +76,8 @@
 	const struct route_service *service = NULL;
 
 	if (fleet->table)
-		service = g_hash_table_lookup(fleet->table->services,
-					      pool->name);
+		service =
+			g_hash_table_lookup(fleet->table->services, pool->name);
 	if (!service)
 		return;
 	pool->connections_max = service->connections_max;
@@ -107,7 +107,6 @@
 	pool->fleet = fleet;
 	pool->name = g_strdup(service);
 	pool->connections_max = 1;
-	pool->budget = route_budget_max(fleet);
 	TAILQ_INIT(&pool->replicas);
 	g_hash_table_insert(fleet->pools, pool->name, pool);
 	teach_pool(fleet, pool);
@@ -136,8 +135,8 @@
 	replica->distance = distance_to(fleet, entry->zone, replica->region);
 	replica->address = entry->address;
 	replica->incarnation = entry->incarnation;
-	replica->evacuated = g_hash_table_contains(fleet->evacuated,
-						   entry->zone);
+	replica->evacuated =
+		g_hash_table_contains(fleet->evacuated, entry->zone);
 	TAILQ_INIT(&replica->open);
 	replica->pool = route_fleet_pool(fleet, entry->service);
 	TAILQ_INSERT_TAIL(&replica->pool->replicas, replica, link);
--- a/src/libroute/fleet.h
+++ b/src/libroute/fleet.h
@@ -4,6 +4,9 @@
 
 #include "cuminsail/route.h"
 
+/* Steps of a budget's window, one of them for what leaves it. */
+#define ROUTE_BUDGET_STEPS 21
+
 struct route_pool {
 	struct route_fleet *fleet;
 	char *name;
@@ -12,7 +15,9 @@
 	double cold_per_s;
 	double work_us; /* moving average without the distance; 0: none yet */
 	double deviation_us; /* mean distance of a sample from its estimate */
-	double budget; /* extra requests left */
+	gint64 budget_step; /* number of the current step of the window */
+	guint asked[ROUTE_BUDGET_STEPS]; /* requests of callers */
+	guint extra[ROUTE_BUDGET_STEPS]; /* retries and hedges */
 };
 
 struct route_fleet {
@@ -46,12 +51,4 @@
  */
 double route_distance_us(enum route_distance distance);
 
-/**
- * route_budget_max - the most that a pool's budget can hold
- * @fleet: a fleet
- *
- * Return: extra requests.
- */
-double route_budget_max(const struct route_fleet *fleet);
-
 #endif
--- a/src/libroute/merge.c
+++ b/src/libroute/merge.c
@@ -66,7 +66,8 @@
 
 	for (; length >= ROUTE_RECORD_BYTES;
 	     length -= ROUTE_RECORD_BYTES, at += ROUTE_RECORD_BYTES) {
-		struct record *heap = (struct record *)(void *)merge->heap->data;
+		struct record *heap =
+			(struct record *)(void *)merge->heap->data;
 		struct record record;
 
 		memcpy(record.bytes, at, ROUTE_RECORD_BYTES);
--- a/src/libroute/table.c
+++ b/src/libroute/table.c
@@ -65,13 +65,12 @@
 
 	g_ref_count_init(&table->refs);
 	table->version = version;
-	table->routes = g_ptr_array_new_with_free_func(
-		(GDestroyNotify)route_destroy);
+	table->routes =
+		g_ptr_array_new_with_free_func((GDestroyNotify)route_destroy);
 	table->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						free_service);
-	table->hosts =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-				      (GDestroyNotify)g_ptr_array_unref);
+	table->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     (GDestroyNotify)g_ptr_array_unref);
 	return table;
 }
 
