Logs of each decision on standard output, bounded; histograms and state on the metrics page

Cause: an id could not be followed to its cause: only the end of a request was logged, to standard error, and a reader that stood still would have held the loop.

--- a/include/cuminsail/counters.h
+++ b/include/cuminsail/counters.h
@@ -101,7 +101,38 @@
 	X(CS_N_WARMED, "warmed_total", "", "upstreams that became warm")       \
 	X(CS_N_PAUSES, "pauses_total", "", "late wake-ups of the process")     \
 	X(CS_N_CALLER_GONE, "caller_gone_total", "",                           \
-	  "callers that left before their answer")
+	  "callers that left before their answer")                             \
+	X(CS_N_MOVED, "moved_attempts_total", "reason=connect-timeout",        \
+	  "attempts moved to another replica before a byte was sent")          \
+	X(CS_N_WAITED, "waits_total", "reason=no-room",                        \
+	  "parts that waited for a replica with room")                         \
+	X(CS_N_PARTIAL_AT, "partial_answers_total", "reason=objective",        \
+	  "partial answers by what ended the wait")                            \
+	X(CS_N_PARTIAL_FAILED, "partial_answers_total", "reason=failed-parts", \
+	  "partial answers by what ended the wait")                            \
+	X(CS_N_CONNECTIONS, "connections_total", "", "connections to upstreams")
+
+/*
+ * Latency histograms: X(identifier, metric, label "name=value", help)
+ */
+#define CS_HISTOGRAM_TABLE(X)                                                  \
+	X(CS_H_FANOUT, "request_seconds", "target=fanout",                     \
+	  "time from a request to its final answer")                           \
+	X(CS_H_SINGLE, "request_seconds", "target=single",                     \
+	  "time from a request to its final answer")                           \
+	X(CS_H_PART, "part_seconds", "result=good",                            \
+	  "time from a request to a replica to its answer")                    \
+	X(CS_H_PART_FAILED, "part_seconds", "result=failed",                   \
+	  "time from a request to a replica to its answer")                    \
+	X(CS_H_PLATFORM, "platform_read_seconds", "call=range",                \
+	  "time that a read of the platform's store took")
+
+enum cs_histogram {
+#define X(id, metric, label, help) id,
+	CS_HISTOGRAM_TABLE(X)
+#undef X
+		CS_N_HISTOGRAMS,
+};
 
 enum cs_counter {
 #define X(id, metric, label, help) id,
@@ -134,6 +165,15 @@
 void cs_counters_add(struct cs_counters *counters, enum cs_counter which,
 		     guint64 n);
 
+/**
+ * cs_counters_time - add one duration to a histogram
+ * @counters: a set
+ * @which: the histogram, below CS_N_HISTOGRAMS
+ * @us: microseconds
+ */
+void cs_counters_time(struct cs_counters *counters, enum cs_histogram which,
+		      gint64 us);
+
 /**
  * cs_counters_refuse - count one refusal towards a caller
  * @counters: a set
--- a/src/cuminsaild/forward.c
+++ b/src/cuminsaild/forward.c
@@ -9,6 +9,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #define EXIT_SETTINGS 2
 
@@ -97,12 +98,14 @@
 		return EXIT_SUCCESS;
 	}
 	clock = cs_clock_create();
+	cs_log_start(STDOUT_FILENO, clock);
 	loop = http1_loop_create(clock);
 	if (loop)
 		status = serve(loop, settings);
 	else
 		status = EXIT_FAILURE;
 	http1_loop_destroy(loop);
+	cs_log_start(STDOUT_FILENO, NULL);
 	cs_clock_destroy(clock);
 	forward_settings_destroy(settings);
 	return status;
--- a/src/cuminsaild/main.c
+++ b/src/cuminsaild/main.c
@@ -11,6 +11,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #define EXIT_SETTINGS 2
 
@@ -118,10 +119,12 @@
 	guint term;
 	guint interrupt;
 
+	cs_log_start(STDOUT_FILENO, clock);
 	daemon.engine =
 		engine_create(clock, settings, on_stopped, &daemon, &why);
 	if (!daemon.engine) {
 		cs_log(LOG_ERR, "start-failed", "why", why, NULL);
+		cs_log_start(STDOUT_FILENO, NULL);
 		g_main_loop_unref(daemon.loop);
 		cs_clock_destroy(clock);
 		return EXIT_FAILURE;
@@ -133,6 +136,7 @@
 	g_source_remove(interrupt);
 	engine_destroy(daemon.engine);
 	g_main_loop_unref(daemon.loop);
+	cs_log_start(STDOUT_FILENO, NULL);
 	cs_clock_destroy(clock);
 	return EXIT_SUCCESS;
 }
--- a/src/libforward/engine.c
+++ b/src/libforward/engine.c
@@ -119,11 +119,34 @@
 	http1_exchange_reply(exchange, &reply);
 }
 
+static char *print_state(const struct forward_engine *engine,
+			 const char *counters)
+{
+	return g_strdup_printf(
+		"%s"
+		"# TYPE cuminsail_ready gauge\n"
+		"cuminsail_ready %d\n"
+		"# TYPE cuminsail_table_version gauge\n"
+		"cuminsail_table_version %" G_GINT64_FORMAT "\n"
+		"# TYPE cuminsail_picture_age_seconds gauge\n"
+		"cuminsail_picture_age_seconds %.3f\n"
+		"# TYPE cuminsail_replicas_listed gauge\n"
+		"cuminsail_replicas_listed %u\n"
+		"# TYPE cuminsail_requests_open gauge\n"
+		"cuminsail_requests_open %u\n",
+		counters, is_ready(engine),
+		engine->table ? engine->table->version : 0,
+		(double)forward_picture_age(engine) / CS_US_PER_S,
+		route_fleet_count(engine->fleet),
+		http1_server_open(engine->callers));
+}
+
 static void on_metrics_request(struct http1_exchange *exchange,
 			       const struct http1_message *request, void *user)
 {
 	struct forward_engine *engine = user;
-	g_autofree char *text = cs_counters_print(engine->counters);
+	g_autofree char *counters = cs_counters_print(engine->counters);
+	g_autofree char *text = print_state(engine, counters);
 	struct http1_reply reply = {
 		.status = 200,
 		.lines = "Content-Type: text/plain; version=0.0.4\r\n",
@@ -145,6 +168,17 @@
 	return cs_clock_now(engine->clock);
 }
 
+const char *forward_ms(char *text, gint64 us)
+{
+	g_snprintf(text, FIGURE_TEXT, "%.1f", (double)us / CS_US_PER_MS);
+	return text;
+}
+
+gint64 forward_picture_age(const struct forward_engine *engine)
+{
+	return forward_now(engine) - engine->confirmed_us;
+}
+
 struct route_fleet *forward_engine_fleet(struct forward_engine *engine)
 {
 	return engine->fleet;
@@ -189,6 +223,8 @@
 
 void forward_engine_set_current(struct forward_engine *engine, bool current)
 {
+	if (current)
+		engine->confirmed_us = forward_now(engine);
 	if (engine->current == current)
 		return;
 	engine->current = current;
@@ -272,6 +308,7 @@
 		cs_counters_add(engine->counters, CS_N_PAUSES, 1);
 		cs_log(LOG_WARNING, "woke-late", "late_ms", late, NULL);
 	}
+	cs_log_flush();
 	route_fleet_expire(engine->fleet, now);
 	forward_links_sweep(engine);
 	forward_engine_poke(engine);
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -113,6 +113,7 @@
 	struct cs_timer tick;
 	GString *head; /* reused for each request sent */
 	bool current; /* the source has confirmed the picture lately */
+	gint64 confirmed_us; /* when it last did */
 	bool poking;
 	bool poke_due;
 	enum {
@@ -125,8 +126,17 @@
 	void *user;
 };
 
+/* Longest text of a figure in a log line. */
+#define FIGURE_TEXT 32
+
 gint64 forward_now(const struct forward_engine *engine);
 
+/* Milliseconds with one digit, into FIGURE_TEXT bytes. */
+const char *forward_ms(char *text, gint64 us);
+
+/* How long ago the source confirmed the picture, microseconds. */
+gint64 forward_picture_age(const struct forward_engine *engine);
+
 /* engine.c: a replica has room again. */
 void forward_room(struct forward_engine *engine);
 
--- a/src/libforward/job.c
+++ b/src/libforward/job.c
@@ -129,8 +129,35 @@
 	       part->n_tried < ROUTE_TRIED_MAX;
 }
 
+/* One line for each decision about a part, with what decided it. */
+static void log_part(const struct forward_part *part, const char *event,
+		     const char *reason, const struct route_replica *replica,
+		     gint64 us)
+{
+	struct forward_engine *engine = part->job->engine;
+	gint64 now = forward_now(engine);
+	char after[FIGURE_TEXT];
+	char ms[FIGURE_TEXT];
+	char sent[FIGURE_TEXT];
+	char budget[FIGURE_TEXT];
+	char age[FIGURE_TEXT];
+
+	g_snprintf(sent, sizeof(sent), "%u/%u", part->n_sent,
+		   part->job->route->attempts_max);
+	g_snprintf(budget, sizeof(budget), "%.1f",
+		   route_pool_budget(part->pool, now));
+	cs_log(LOG_INFO, event, "id", part->job->request_id, "service",
+	       route_pool_name(part->pool), "reason", reason, "replica",
+	       replica ? replica->id : NULL, "after_ms",
+	       forward_ms(after, now - part->job->started_us), "limit_ms",
+	       forward_ms(ms, us), "sent", sent, "budget", budget,
+	       "picture_age_ms", forward_ms(age, forward_picture_age(engine)),
+	       NULL);
+}
+
 static void fail_part(struct forward_part *part, int reason)
 {
+	log_part(part, "part-failed", cs_error_name(reason), NULL, 0);
 	leave_waiting(part);
 	part->state = PART_FAILED;
 	part->reason = reason;
@@ -144,6 +171,8 @@
 	struct forward_part *other;
 
 	part->state = PART_WAITING;
+	cs_counters_add(engine->counters, CS_N_WAITED, 1);
+	log_part(part, "part-waits", "no-room", NULL, 0);
 	if (!part->waiting_since_us)
 		part->waiting_since_us = forward_now(engine);
 	TAILQ_FOREACH (other, &engine->waiting, waiting) {
@@ -209,8 +238,10 @@
 	} else if (!route_pool_spend(part->pool, ROUTE_RETRY,
 				     forward_now(job->engine))) {
 		cs_counters_add(job->engine->counters, CS_N_NO_BUDGET, 1);
+		log_part(part, "no-budget", cs_error_name(reason), NULL, 0);
 		fail_part(part, reason);
 	} else {
+		log_part(part, "retry", cs_error_name(reason), NULL, 0);
 		cs_counters_add(job->engine->counters, CS_N_RETRIES, 1);
 		job->n_retries++;
 		forward_part_try(part);
@@ -239,6 +270,8 @@
 	}
 	if (!send_to(part, replica))
 		return;
+	log_part(part, "hedge", attempt->route.replica->id, replica,
+		 now - attempt->route.sent_us);
 	cs_counters_add(job->engine->counters, CS_N_HEDGES, 1);
 	job->n_hedges++;
 }
@@ -247,8 +280,9 @@
 static void leave_connecting(struct forward_part *part,
 			     struct forward_attempt *attempt)
 {
-	cs_log(LOG_INFO, "attempt-lost", "id", part->job->request_id, "replica",
-	       attempt->route.replica->id, "reason", "connect-timeout", NULL);
+	log_part(part, "attempt-moved", "connect-timeout",
+		 attempt->route.replica, CONNECT_US);
+	cs_counters_add(part->job->engine->counters, CS_N_MOVED, 1);
 	forward_attempt_cut(attempt);
 	part->n_sent--;
 	part->reason = CS_E_LOST;
@@ -334,6 +368,9 @@
 	}
 	if (job->n_done + job->n_failed == job->n_parts &&
 	    job->n_done >= parts_needed(job)) {
+		if (job->n_failed)
+			cs_counters_add(job->engine->counters,
+					CS_N_PARTIAL_FAILED, 1);
 		finish(job);
 		return;
 	}
@@ -342,6 +379,7 @@
 		return;
 	}
 	if (now >= partial_us && job->n_done >= parts_needed(job)) {
+		cs_counters_add(job->engine->counters, CS_N_PARTIAL_AT, 1);
 		finish(job);
 		return;
 	}
--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -59,6 +59,11 @@
 	struct forward_engine *engine = attempt->connection->carrier->engine;
 
 	cs_timer_disarm(engine->clock, &attempt->drain);
+	if (result != ROUTE_DROPPED)
+		cs_counters_time(engine->counters,
+				 result == ROUTE_GOOD ? CS_H_PART :
+							CS_H_PART_FAILED,
+				 forward_now(engine) - attempt->route.sent_us);
 	if (attempt->part)
 		TAILQ_REMOVE(&attempt->part->attempts, attempt, link);
 	else
@@ -109,16 +114,15 @@
 			const char *event, const char *reason, guint status)
 {
 	struct forward_engine *engine = attempt->connection->carrier->engine;
-	char after[32];
-	char code[16];
+	char after[FIGURE_TEXT];
+	char code[FIGURE_TEXT];
 
-	g_snprintf(after, sizeof(after), "%.1f",
-		   (double)(forward_now(engine) - attempt->route.sent_us) /
-			   CS_US_PER_MS);
+	forward_ms(after, forward_now(engine) - attempt->route.sent_us);
 	g_snprintf(code, sizeof(code), "%u", status);
 	cs_log(LOG_INFO, event, "id", attempt->request_id, "replica",
 	       attempt->route.replica->id, "zone", attempt->route.replica->zone,
-	       "after_ms", after, "status", code, "reason", reason, NULL);
+	       "after_ms", after, "wanted",
+	       attempt->part ? "yes" : "no", "status", code, "reason", reason, NULL);
 }
 
 static void copy_line(const char *name, const char *value, void *user)
@@ -337,6 +341,7 @@
 		return NULL;
 	}
 	carrier->replica->connections++;
+	cs_counters_add(carrier->engine->counters, CS_N_CONNECTIONS, 1);
 	return connection;
 }
 
@@ -416,6 +421,7 @@
 	connection->attempt = attempt;
 	TAILQ_INSERT_TAIL(&part->attempts, attempt, link);
 	route_attempt_begin(&attempt->route, replica, now);
+	cs_counters_add(engine->counters, CS_N_PARTS, 1);
 	write_head(job, replica);
 	http1_call_send(connection->call, engine->head, request->body->data,
 			request->body->len, !strcmp(request->method, "HEAD"));
--- a/src/libforward/reply.c
+++ b/src/libforward/reply.c
@@ -17,24 +17,34 @@
 static void log_end(const struct forward_job *job, const char *outcome,
 		    guint status)
 {
-	gint64 spent = forward_now(job->engine) - job->started_us;
-	char code[16];
-	char version[32];
-	char parts[32];
-	char extra[32];
-	char ms[32];
-
+	struct forward_engine *engine = job->engine;
+	gint64 spent = forward_now(engine) - job->started_us;
+	char code[FIGURE_TEXT];
+	char version[FIGURE_TEXT];
+	char parts[FIGURE_TEXT];
+	char hedges[FIGURE_TEXT];
+	char retries[FIGURE_TEXT];
+	char ms[FIGURE_TEXT];
+	char deadline[FIGURE_TEXT];
+	char age[FIGURE_TEXT];
+
+	cs_counters_time(engine->counters,
+			 job->route->target == ROUTE_FANOUT ? CS_H_FANOUT :
+							      CS_H_SINGLE,
+			 spent);
 	g_snprintf(code, sizeof(code), "%u", status);
 	g_snprintf(version, sizeof(version), "%" G_GINT64_FORMAT,
 		   job->table->version);
 	g_snprintf(parts, sizeof(parts), "%u/%u", job->n_done, job->n_parts);
-	g_snprintf(extra, sizeof(extra), "%u+%u", job->n_hedges,
-		   job->n_retries);
-	g_snprintf(ms, sizeof(ms), "%.1f", (double)spent / CS_US_PER_MS);
+	g_snprintf(hedges, sizeof(hedges), "%u", job->n_hedges);
+	g_snprintf(retries, sizeof(retries), "%u", job->n_retries);
 	cs_log(LOG_INFO, "request", "id", job->request_id, "route",
-	       job->route->name, "version", version, "outcome", outcome,
-	       "status", code, "parts", parts, "hedges+retries", extra,
-	       "elapsed_ms", ms, NULL);
+	       job->route->name, "outcome", outcome, "status", code, "parts",
+	       parts, "hedges", hedges, "retries", retries, "elapsed_ms",
+	       forward_ms(ms, spent), "deadline_ms",
+	       forward_ms(deadline, job->deadline_us - job->started_us),
+	       "version", version, "picture_age_ms",
+	       forward_ms(age, forward_picture_age(engine)), NULL);
 }
 
 static void pass_on(struct forward_job *job,
--- a/src/share/counters.c
+++ b/src/share/counters.c
@@ -7,8 +7,21 @@
 /* Result codes run from -1 down to -(REFUSALS_MAX - 1). */
 #define REFUSALS_MAX 64
 
+/* Upper bounds in milliseconds; one more bucket has no bound. */
+static const guint buckets_ms[] = {1,	2,   5,	  10,	20,   30,   50,	  75,
+				   100, 150, 200, 300,	500,  750,  1000, 1500,
+				   2500, 5000, 10000};
+
+#define N_BUCKETS (G_N_ELEMENTS(buckets_ms) + 1)
+
+struct histogram {
+	guint64 counts[N_BUCKETS];
+	guint64 sum_us;
+};
+
 struct cs_counters {
 	guint64 values[CS_N_COUNTERS];
+	struct histogram histograms[CS_N_HISTOGRAMS];
 	guint64 refusals[REFUSALS_MAX];
 };
 
@@ -24,6 +37,12 @@
 #undef X
 };
 
+static const struct counter_row histogram_rows[] = {
+#define X(id, metric, label, help) {metric, label, help},
+	CS_HISTOGRAM_TABLE(X)
+#undef X
+};
+
 struct cs_counters *cs_counters_create(void)
 {
 	return g_new0(struct cs_counters, 1);
@@ -40,6 +59,19 @@
 	counters->values[which] += n;
 }
 
+void cs_counters_time(struct cs_counters *counters, enum cs_histogram which,
+		      gint64 us)
+{
+	struct histogram *histogram = &counters->histograms[which];
+	guint bucket = 0;
+
+	while (bucket < G_N_ELEMENTS(buckets_ms) &&
+	       us > (gint64)buckets_ms[bucket] * 1000)
+		bucket++;
+	histogram->counts[bucket]++;
+	histogram->sum_us += (guint64)MAX(us, 0);
+}
+
 void cs_counters_refuse(struct cs_counters *counters, int code)
 {
 	if (code < 0 && code > -REFUSALS_MAX)
@@ -86,6 +118,63 @@
 	}
 }
 
+static void print_bucket(GString *out, const struct counter_row *row,
+			 const char *bound, guint64 count)
+{
+	const char *equals = strchr(row->label, '=');
+
+	g_string_append_printf(out,
+			       "cuminsail_%s_bucket{%.*s=\"%s\",le=\"%s\"} "
+			       "%" G_GUINT64_FORMAT "\n",
+			       row->metric, (int)(equals - row->label),
+			       row->label, equals + 1, bound, count);
+}
+
+static void print_histogram(GString *out, const struct counter_row *row,
+			    const struct histogram *histogram)
+{
+	const char *equals = strchr(row->label, '=');
+	char bound[32];
+	guint64 count = 0;
+
+	for (guint i = 0; i < G_N_ELEMENTS(buckets_ms); i++) {
+		count += histogram->counts[i];
+		g_ascii_formatd(bound, sizeof(bound), "%.3f",
+				buckets_ms[i] / 1000.0);
+		print_bucket(out, row, bound, count);
+	}
+	count += histogram->counts[N_BUCKETS - 1];
+	print_bucket(out, row, "+Inf", count);
+	g_ascii_formatd(bound, sizeof(bound), "%.6f",
+			(double)histogram->sum_us / 1e6);
+	g_string_append_printf(
+		out,
+		"cuminsail_%s_sum{%.*s=\"%s\"} %s\n"
+		"cuminsail_%s_count{%.*s=\"%s\"} %" G_GUINT64_FORMAT "\n",
+		row->metric, (int)(equals - row->label), row->label, equals + 1,
+		bound, row->metric, (int)(equals - row->label), row->label,
+		equals + 1, count);
+}
+
+static void print_histograms(GString *out, const struct cs_counters *counters)
+{
+	const char *previous = "";
+
+	for (int i = 0; i < CS_N_HISTOGRAMS; i++) {
+		const struct counter_row *row = &histogram_rows[i];
+
+		if (strcmp(row->metric, previous) != 0) {
+			g_string_append_printf(out,
+					       "# HELP cuminsail_%s %s\n"
+					       "# TYPE cuminsail_%s histogram\n",
+					       row->metric, row->help,
+					       row->metric);
+			previous = row->metric;
+		}
+		print_histogram(out, row, &counters->histograms[i]);
+	}
+}
+
 char *cs_counters_print(const struct cs_counters *counters)
 {
 	GString *out = g_string_new(NULL);
@@ -98,5 +187,6 @@
 		print_row(out, &rows[i], counters->values[i]);
 	}
 	print_refusals(out, counters);
+	print_histograms(out, counters);
 	return g_string_free(out, FALSE);
 }
