Budget: what an answer needs goes before what makes it better, and that before hedges

Cause: while replicas shed, hedges and retries of parts that an answer could do without took the budget of retries without which there is none.

--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -431,14 +431,15 @@
 
 /** What extra load is wanted for. */
 enum route_extra {
-	ROUTE_RETRY, /* an attempt failed */
+	ROUTE_RETRY_NEEDED, /* without it there is no answer */
+	ROUTE_RETRY_BETTER, /* without it an answer lacks a part */
 	ROUTE_HEDGE, /* an attempt is slow */
 };
 
 /**
  * route_pool_spend - ask for one extra request
  * @pool: a pool
- * @extra: what for; hedges leave a reserve for retries
+ * @extra: what for; what is needed less leaves a reserve to the rest
  * @now_us: the clock
  *
  * In every window the extra requests stay below the ratio of the callers'
--- a/src/libforward/job.c
+++ b/src/libforward/job.c
@@ -223,6 +223,24 @@
 	forward_job_look(job);
 }
 
+/* Parts without which there is no answer. */
+static guint parts_needed(const struct forward_job *job)
+{
+	if (job->route->target != ROUTE_FANOUT)
+		return 1;
+	return MAX((guint)ceil(job->route->fanout.least_share * job->n_parts -
+			       1e-9),
+		   1);
+}
+
+/* What a further attempt at the part is worth. */
+static enum route_extra worth_of(const struct forward_job *job)
+{
+	bool can_miss = job->n_failed + 1 <= job->n_parts - parts_needed(job);
+
+	return can_miss ? ROUTE_RETRY_BETTER : ROUTE_RETRY_NEEDED;
+}
+
 /* Whether the part may go to one more replica, paid from the budget. */
 static bool may_repeat(struct forward_part *part, enum forward_fate fate)
 {
@@ -234,7 +252,8 @@
 		return false;
 	/* What was never sent is no load. */
 	if (fate == FORWARD_UNSENT ||
-	    route_pool_spend(part->pool, ROUTE_RETRY, forward_now(engine)))
+	    route_pool_spend(part->pool, worth_of(part->job),
+			     forward_now(engine)))
 		return true;
 	cs_counters_add(engine->counters, CS_N_NO_BUDGET, 1);
 	log_part(part, "no-budget", cs_error_name(part->reason), NULL, 0);
@@ -349,16 +368,6 @@
 
 /* ---- the whole ---- */
 
-/* Parts without which there is no answer. */
-static guint parts_needed(const struct forward_job *job)
-{
-	if (job->route->target != ROUTE_FANOUT)
-		return 1;
-	return MAX((guint)ceil(job->route->fanout.least_share * job->n_parts -
-			       1e-9),
-		   1);
-}
-
 static int failure_of(const struct forward_job *job)
 {
 	for (guint i = 0; i < job->n_parts; i++) {
--- a/src/libroute/budget.c
+++ b/src/libroute/budget.c
@@ -1,8 +1,10 @@
 /* Extra load: retries and hedges, bounded over a sliding window. */
 #include "fleet.h"
 
-/* Share of the allowance that hedges leave to retries. */
-#define HEDGE_RESERVE 0.25
+/* Shares of the allowance that are left to what is needed more. A tenth of the
+ * requests is enough for the hedges that pauses of 4 in 100 call for. */
+#define BETTER_RESERVE 0.25
+#define HEDGE_RESERVE  0.5
 
 /* Share of the allowed ratio that is used: the rest covers requests that reach
  * a replica in another window than the one they are counted in here. */
@@ -49,6 +51,19 @@
 	       bounds->budget_slack / bounds->daemons - extra;
 }
 
+static double reserve_for(enum route_extra extra)
+{
+	switch (extra) {
+	case ROUTE_RETRY_NEEDED:
+		break;
+	case ROUTE_RETRY_BETTER:
+		return BETTER_RESERVE;
+	case ROUTE_HEDGE:
+		return HEDGE_RESERVE;
+	}
+	return 0;
+}
+
 bool route_pool_spend(struct route_pool *pool, enum route_extra extra,
 		      gint64 now_us)
 {
@@ -56,11 +71,9 @@
 	guint at = (guint)(pool->budget_step % ROUTE_BUDGET_STEPS);
 	double spent = 0;
 
-	if (extra == ROUTE_HEDGE) {
-		for (guint i = 0; i < ROUTE_BUDGET_STEPS; i++)
-			spent += pool->extra[i];
-		left -= HEDGE_RESERVE * (left + spent);
-	}
+	for (guint i = 0; i < ROUTE_BUDGET_STEPS; i++)
+		spent += pool->extra[i];
+	left -= reserve_for(extra) * (left + spent);
 	if (left < 1)
 		return false;
 	pool->extra[at]++;
