Peers: daemons counted through the seeds; the picture of a peer while the platform is away

Cause: the shares of connection limits and of the budget assumed ten daemons, four in a zone; the one daemon of sil-sevoke carries 36 in 100 of the load with 6 of 45 connections and lost 281 of 324 requests of the worst seconds. Change: each daemon tells one seed a second that it is up and gets the counts of all and of its zone; a daemon that the platform turns away takes the newer picture of a peer, by revision. Ruled out: full gossip (its volume grows with the fleet).

--- a/include/cuminsail/error.h
+++ b/include/cuminsail/error.h
@@ -54,8 +54,7 @@
 	X(CS_E_CANCELLED, -31, 499, "cancelled", "the caller went away")       \
 	X(CS_E_FRAME, -32, 400, "bad-frame", "a peer's frame is not valid")    \
 	X(CS_E_SLOW, -33, 408, "slow-sender", "the request came too slowly")   \
-	X(CS_E_NO_REPLICA, -34, 503, "no-replica",                             \
-	  "no replica may be asked")                                           \
+	X(CS_E_NO_REPLICA, -34, 503, "no-replica", "no replica may be asked")  \
 	X(CS_E_ROUTE, -35, 404, "unknown-route",                               \
 	  "no route for this host and path")                                   \
 	X(CS_E_HEADER, -36, 400, "bad-header",                                 \
--- a/include/cuminsail/forward.h
+++ b/include/cuminsail/forward.h
@@ -119,6 +119,23 @@
  */
 void forward_engine_poke(struct forward_engine *engine);
 
+/** The picture as one daemon passes it to another; only its source reads it. */
+struct forward_source {
+	/* Return: a new text for g_free(), or NULL if there is none yet. */
+	char *(*export)(void *user);
+	/* A peer's picture: taken where it is newer. */
+	void (*offer)(const char *bytes, gsize length, void *user);
+	void *user;
+};
+
+/**
+ * forward_engine_set_source - pass the picture to peers, and take theirs
+ * @engine: an engine
+ * @source: copied
+ */
+void forward_engine_set_source(struct forward_engine *engine,
+			       const struct forward_source *source);
+
 /**
  * forward_engine_counters - the counters
  * @engine: an engine
--- a/src/libforward/engine.c
+++ b/src/libforward/engine.c
@@ -122,23 +122,23 @@
 static char *print_state(const struct forward_engine *engine,
 			 const char *counters)
 {
-	return g_strdup_printf(
-		"%s"
-		"# TYPE cuminsail_ready gauge\n"
-		"cuminsail_ready %d\n"
-		"# TYPE cuminsail_table_version gauge\n"
-		"cuminsail_table_version %" G_GINT64_FORMAT "\n"
-		"# TYPE cuminsail_picture_age_seconds gauge\n"
-		"cuminsail_picture_age_seconds %.3f\n"
-		"# TYPE cuminsail_replicas_listed gauge\n"
-		"cuminsail_replicas_listed %u\n"
-		"# TYPE cuminsail_requests_open gauge\n"
-		"cuminsail_requests_open %u\n",
-		counters, is_ready(engine),
-		engine->table ? engine->table->version : 0,
-		(double)forward_picture_age(engine) / CS_US_PER_S,
-		route_fleet_count(engine->fleet),
-		http1_server_open(engine->callers));
+	return g_strdup_printf("%s"
+			       "# TYPE cuminsail_ready gauge\n"
+			       "cuminsail_ready %d\n"
+			       "# TYPE cuminsail_table_version gauge\n"
+			       "cuminsail_table_version %" G_GINT64_FORMAT "\n"
+			       "# TYPE cuminsail_picture_age_seconds gauge\n"
+			       "cuminsail_picture_age_seconds %.3f\n"
+			       "# TYPE cuminsail_replicas_listed gauge\n"
+			       "cuminsail_replicas_listed %u\n"
+			       "# TYPE cuminsail_requests_open gauge\n"
+			       "cuminsail_requests_open %u\n",
+			       counters, is_ready(engine),
+			       engine->table ? engine->table->version : 0,
+			       (double)forward_picture_age(engine) /
+				       CS_US_PER_S,
+			       route_fleet_count(engine->fleet),
+			       http1_server_open(engine->callers));
 }
 
 static void on_metrics_request(struct http1_exchange *exchange,
@@ -221,6 +221,12 @@
 	cs_log(LOG_NOTICE, "table-taken", "version", version, NULL);
 }
 
+void forward_engine_set_source(struct forward_engine *engine,
+			       const struct forward_source *source)
+{
+	forward_peers_set_source(engine->peers, source);
+}
+
 void forward_engine_set_current(struct forward_engine *engine, bool current)
 {
 	if (current)
@@ -392,6 +398,7 @@
 		forward_engine_destroy(engine);
 		return NULL;
 	}
+	engine->peers = forward_peers_create(engine);
 	cs_timer_arm(engine->clock, &engine->tick,
 		     forward_now(engine) + TICK_US);
 	cs_log(LOG_NOTICE, "started", "instance", settings->instance, "zone",
@@ -404,6 +411,7 @@
 	if (!engine)
 		return;
 	cs_timer_disarm(engine->clock, &engine->tick);
+	forward_peers_destroy(engine->peers);
 	http1_server_destroy(engine->callers);
 	http1_server_destroy(engine->ready);
 	http1_server_destroy(engine->metrics);
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -5,6 +5,7 @@
 #include "cuminsail/forward.h"
 
 struct forward_connection;
+struct forward_peers;
 struct forward_job;
 struct forward_part;
 struct forward_link;
@@ -117,6 +118,9 @@
 	TAILQ_HEAD(, forward_part) waiting;
 	TAILQ_HEAD(, forward_link) links;
 	TAILQ_HEAD(, forward_attempt) drained;
+	struct forward_peers *peers;
+	guint daemons; /* up, as far as known */
+	guint daemons_in_zone;
 	struct cs_timer tick;
 	GString *head; /* reused for each request sent */
 	bool current; /* the source has confirmed the picture lately */
@@ -172,4 +176,10 @@
 void forward_refuse(struct forward_job *job, int code);
 void forward_answer_free(struct forward_answer *answer);
 
+/* peers.c */
+struct forward_peers *forward_peers_create(struct forward_engine *engine);
+void forward_peers_set_source(struct forward_peers *peers,
+			      const struct forward_source *source);
+void forward_peers_destroy(struct forward_peers *peers);
+
 #endif
--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -61,8 +61,8 @@
 	cs_timer_disarm(engine->clock, &attempt->drain);
 	if (result != ROUTE_DROPPED)
 		cs_counters_time(engine->counters,
-				 result == ROUTE_GOOD ? CS_H_PART :
-							CS_H_PART_FAILED,
+				 result == ROUTE_GOOD ? CS_H_PART
+						      : CS_H_PART_FAILED,
 				 forward_now(engine) - attempt->route.sent_us);
 	if (attempt->part)
 		TAILQ_REMOVE(&attempt->part->attempts, attempt, link);
@@ -121,8 +121,8 @@
 	g_snprintf(code, sizeof(code), "%u", status);
 	cs_log(LOG_INFO, event, "id", attempt->request_id, "replica",
 	       attempt->route.replica->id, "zone", attempt->route.replica->zone,
-	       "after_ms", after, "wanted",
-	       attempt->part ? "yes" : "no", "status", code, "reason", reason, NULL);
+	       "after_ms", after, "wanted", attempt->part ? "yes" : "no",
+	       "status", code, "reason", reason, NULL);
 }
 
 static void copy_line(const char *name, const char *value, void *user)
--- a/src/libforward/reply.c
+++ b/src/libforward/reply.c
@@ -29,8 +29,8 @@
 	char age[FIGURE_TEXT];
 
 	cs_counters_time(engine->counters,
-			 job->route->target == ROUTE_FANOUT ? CS_H_FANOUT :
-							      CS_H_SINGLE,
+			 job->route->target == ROUTE_FANOUT ? CS_H_FANOUT
+							    : CS_H_SINGLE,
 			 spent);
 	g_snprintf(code, sizeof(code), "%u", status);
 	g_snprintf(version, sizeof(version), "%" G_GINT64_FORMAT,
--- a/src/share/counters.c
+++ b/src/share/counters.c
@@ -8,9 +8,9 @@
 #define REFUSALS_MAX 64
 
 /* Upper bounds in milliseconds; one more bucket has no bound. */
-static const guint buckets_ms[] = {1,	2,   5,	  10,	20,   30,   50,	  75,
-				   100, 150, 200, 300,	500,  750,  1000, 1500,
-				   2500, 5000, 10000};
+static const guint buckets_ms[] = {1,	 2,    5,    10,   20,	 30,  50,
+				   75,	 100,  150,  200,  300,	 500, 750,
+				   1000, 1500, 2500, 5000, 10000};
 
 #define N_BUCKETS (G_N_ELEMENTS(buckets_ms) + 1)
 
@@ -164,11 +164,11 @@
 		const struct counter_row *row = &histogram_rows[i];
 
 		if (strcmp(row->metric, previous) != 0) {
-			g_string_append_printf(out,
-					       "# HELP cuminsail_%s %s\n"
-					       "# TYPE cuminsail_%s histogram\n",
-					       row->metric, row->help,
-					       row->metric);
+			g_string_append_printf(
+				out,
+				"# HELP cuminsail_%s %s\n"
+				"# TYPE cuminsail_%s histogram\n",
+				row->metric, row->help, row->metric);
 			previous = row->metric;
 		}
 		print_histogram(out, row, &counters->histograms[i]);
