Seeds read the platform, the other daemons follow them

Change: a daemon follows one seed by a call that waits there for a change; the seed's answer has the age of its own picture, and a late one is left for the next seed, at last for the platform itself. Daemons are counted by identity over all seeds. Far connections are overcommitted twice: they are seldom needed together.

--- a/include/cuminsail/forward.h
+++ b/include/cuminsail/forward.h
@@ -10,6 +10,7 @@
 
 #include "cuminsail/counters.h"
 #include "cuminsail/http1.h"
+#include "cuminsail/json.h"
 #include "cuminsail/route.h"
 
 /** Names of header lines and calls on the wire. */
@@ -94,7 +95,7 @@
  * forward_engine_fleet - the picture of the replicas
  * @engine: an engine
  *
- * Return: owned by the engine. After a change call forward_engine_poke().
+ * Return: owned by the engine. After a change call forward_engine_changed().
  */
 struct route_fleet *forward_engine_fleet(struct forward_engine *engine);
 
@@ -107,29 +108,36 @@
 			      struct route_table *table);
 
 /**
- * forward_engine_set_current - whether the picture is known to be current
+ * forward_engine_confirm - the picture was known to be current at a time
  * @engine: an engine
- * @current: the source has just confirmed it, or cannot any more
+ * @at_us: on the clock; an earlier time than the last one is left aside
  */
-void forward_engine_set_current(struct forward_engine *engine, bool current);
+void forward_engine_confirm(struct forward_engine *engine, gint64 at_us);
 
 /**
- * forward_engine_poke - the picture changed: look at waiting requests again
+ * forward_engine_changed - the picture changed
  * @engine: an engine
+ *
+ * Waiting requests are looked at again and following daemons are told.
  */
-void forward_engine_poke(struct forward_engine *engine);
+void forward_engine_changed(struct forward_engine *engine);
 
-/** The picture as one daemon passes it to another; only its source reads it. */
+/** Where the picture comes from; only the source reads its documents. */
 struct forward_source {
-	/* Return: a new text for g_free(), or NULL if there is none yet. */
-	char *(*export)(void *user);
-	/* A peer's picture: taken where it is newer. */
-	void (*offer)(const char *bytes, gsize length, void *user);
+	/* Read the platform directly, or leave it to a peer. */
+	void (*read)(bool directly, void *user);
+	/* Return: the revision up to which everything is known; 0 at first. */
+	gint64 (*revision)(void *user);
+	/* Return: a new document of what changed after a revision, all of it
+	 * for 0; NULL before the first reading. */
+	json_t *(*export)(gint64 after, void *user);
+	/* A peer's document: taken where it is newer. */
+	void (*offer)(json_t *document, void *user);
 	void *user;
 };
 
 /**
- * forward_engine_set_source - pass the picture to peers, and take theirs
+ * forward_engine_set_source - begin to read, directly or through a peer
  * @engine: an engine
  * @source: copied
  */
--- a/include/cuminsail/http1.h
+++ b/include/cuminsail/http1.h
@@ -406,30 +406,4 @@
  */
 void http1_call_close(struct http1_call *call);
 
-struct http1_fetch;
-
-/**
- * http1_fetch_begin - one GET on a connection of its own
- * @loop: the loop
- * @to: IPv4 address and port
- * @target: path and query
- * @timeout_us: longest wait for the whole answer
- * @done: called once with the answer, or with NULL if none came
- * @user: passed to @done
- *
- * Return: the call in progress, invalid from @done on; NULL if it could not
- * begin, then @done is not called.
- */
-struct http1_fetch *http1_fetch_begin(
-	struct http1_loop *loop, const struct sockaddr_in *to,
-	const char *target, gint64 timeout_us,
-	void (*done)(const struct http1_message *answer, void *user),
-	void *user);
-
-/**
- * http1_fetch_cancel - end a call without its callback
- * @fetch: a call in progress, or NULL
- */
-void http1_fetch_cancel(struct http1_fetch *fetch);
-
 #endif
--- a/src/libforward/engine.c
+++ b/src/libforward/engine.c
@@ -9,6 +9,10 @@
 /* Upkeep: lapsed replicas, idle connections, waiting parts. */
 #define TICK_US (50 * CS_US_PER_MS)
 
+/* A picture that was confirmed this long ago may lack a change that is due: the
+ * longest watch, its margin, and a peer's word of it. */
+#define CURRENT_US (2900 * CS_US_PER_MS)
+
 /* A tick this late means that the process slept. */
 #define ASLEEP_US (1 * CS_US_PER_S)
 
@@ -221,16 +225,11 @@
 	cs_log(LOG_NOTICE, "table-taken", "version", version, NULL);
 }
 
-void forward_engine_set_source(struct forward_engine *engine,
-			       const struct forward_source *source)
+static void look_at_age(struct forward_engine *engine)
 {
-	forward_peers_set_source(engine->peers, source);
-}
+	bool current = engine->confirmed_us &&
+		       forward_picture_age(engine) < CURRENT_US;
 
-void forward_engine_set_current(struct forward_engine *engine, bool current)
-{
-	if (current)
-		engine->confirmed_us = forward_now(engine);
 	if (engine->current == current)
 		return;
 	engine->current = current;
@@ -238,7 +237,20 @@
 	       NULL);
 }
 
-void forward_engine_poke(struct forward_engine *engine)
+void forward_engine_set_source(struct forward_engine *engine,
+			       const struct forward_source *source)
+{
+	forward_peers_set_source(engine->peers, source);
+	engine->follow = forward_follow_create(engine, source);
+}
+
+void forward_engine_confirm(struct forward_engine *engine, gint64 at_us)
+{
+	engine->confirmed_us = MAX(engine->confirmed_us, at_us);
+	look_at_age(engine);
+}
+
+static void poke(struct forward_engine *engine)
 {
 	struct forward_part *part;
 	struct forward_part *next;
@@ -262,7 +274,13 @@
 	struct forward_engine *engine = user;
 
 	engine->poke_due = false;
-	forward_engine_poke(engine);
+	poke(engine);
+}
+
+void forward_engine_changed(struct forward_engine *engine)
+{
+	poke(engine);
+	forward_peers_changed(engine->peers);
 }
 
 void forward_room(struct forward_engine *engine)
@@ -315,9 +333,10 @@
 		cs_log(LOG_WARNING, "woke-late", "late_ms", late, NULL);
 	}
 	cs_log_flush();
+	look_at_age(engine);
 	route_fleet_expire(engine->fleet, now);
 	forward_links_sweep(engine);
-	forward_engine_poke(engine);
+	poke(engine);
 	cs_timer_arm(engine->clock, timer, now + TICK_US);
 	look_at_stop(engine, now);
 }
@@ -411,6 +430,7 @@
 	if (!engine)
 		return;
 	cs_timer_disarm(engine->clock, &engine->tick);
+	forward_follow_destroy(engine->follow);
 	forward_peers_destroy(engine->peers);
 	http1_server_destroy(engine->callers);
 	http1_server_destroy(engine->ready);
--- /dev/null
+++ b/src/libforward/follow.c
@@ -0,0 +1,361 @@
+/*
+ * Where this daemon's picture comes from: a seed that reads the platform, or
+ * the platform itself.
+ *
+ * A seed reads the platform. Any other daemon follows one seed; when that one
+ * is silent or its own picture is late, the next; when none will do, it reads
+ * the platform itself until one does. A daemon that reads the platform and
+ * does not reach it follows too: a peer may know more.
+ */
+#include "internal.h"
+
+#include "cuminsail/endpoint.h"
+#include "cuminsail/log.h"
+
+#include <string.h>
+
+/* A seed's answer is due after its longest hold and the longest way. */
+#define ANSWER_US (1500 * CS_US_PER_MS)
+
+/* A call that is not held back: a connection and the way back, between regions
+ * 80 ms. */
+#define FIRST_ANSWER_US (200 * CS_US_PER_MS)
+
+/* One that reads the platform says every so often that it is up. */
+#define ROUND_US (1500 * CS_US_PER_MS)
+
+/* Pause after an answer that came at once, and after a failure. */
+#define AGAIN_US (100 * CS_US_PER_MS)
+
+/* After all seeds failed, the platform is read for at least this long. */
+#define DIRECT_US (3 * CS_US_PER_S)
+
+/* All daemons may start within 300 ms: seeds get this long to be up. */
+#define START_GRACE_US (350 * CS_US_PER_MS)
+
+/* A count is believed for this long. */
+#define COUNT_US (7 * CS_US_PER_S)
+
+/* What one seed last said of the fleet. */
+struct seed_word {
+	guint all;
+	guint in_zone;
+	gint64 at_us; /* 0: nothing yet */
+};
+
+struct forward_follow {
+	struct forward_engine *engine;
+	struct forward_source source;
+	struct http1_limits limits;
+	struct http1_call *call;
+	struct cs_timer timer; /* the next call, or the end of this one */
+	struct seed_word *words; /* one for each seed */
+	guint n_seeds;
+	guint seed; /* whom the call goes to */
+	guint failures; /* seeds in a row that would not do */
+	gint64 started_us;
+	gint64 direct_until_us;
+	bool is_seed;
+	bool direct; /* the platform is read */
+	bool calling;
+};
+
+#define follow_of(pointer)                                                     \
+	((struct forward_follow *)((char *)(pointer)-offsetof(                 \
+		struct forward_follow, timer)))
+
+static const struct sockaddr_in *seed_at(const struct forward_follow *follow,
+					 guint i)
+{
+	return &g_array_index(follow->engine->settings->seeds,
+			      struct sockaddr_in, i);
+}
+
+static bool is_self(const struct forward_follow *follow, guint i)
+{
+	const struct sockaddr_in *own = &follow->engine->settings->control;
+	const struct sockaddr_in *at = seed_at(follow, i);
+
+	return at->sin_port == own->sin_port &&
+	       at->sin_addr.s_addr == own->sin_addr.s_addr;
+}
+
+static void set_direct(struct forward_follow *follow, bool direct,
+		       const char *reason)
+{
+	if (follow->direct == direct)
+		return;
+	follow->direct = direct;
+	cs_log(LOG_NOTICE, direct ? "platform-read-directly" : "following-seed",
+	       "reason", reason, NULL);
+	follow->source.read(direct, follow->source.user);
+}
+
+/* ---- counts ---- */
+
+/* The greatest count of the seeds: one that has just started knows few. */
+static void set_counts(struct forward_follow *follow)
+{
+	struct forward_engine *engine = follow->engine;
+	struct route_bounds bounds = engine->settings->bounds;
+	gint64 now = forward_now(engine);
+	guint all = 0;
+	guint in_zone = 0;
+
+	for (guint i = 0; i < follow->n_seeds; i++) {
+		const struct seed_word *word = &follow->words[i];
+
+		if (!word->at_us || now - word->at_us > COUNT_US)
+			continue;
+		all = MAX(all, word->all);
+		in_zone = MAX(in_zone, word->in_zone);
+	}
+	if (!all ||
+	    (all == engine->daemons && in_zone == engine->daemons_in_zone))
+		return;
+	engine->daemons = bounds.daemons = all;
+	engine->daemons_in_zone = bounds.daemons_in_zone = MAX(in_zone, 1);
+	route_fleet_set_bounds(engine->fleet, &bounds);
+	{
+		char text[2][FIGURE_TEXT];
+
+		g_snprintf(text[0], FIGURE_TEXT, "%u", all);
+		g_snprintf(text[1], FIGURE_TEXT, "%u", in_zone);
+		cs_log(LOG_NOTICE, "daemons", "all", text[0], "in_zone",
+		       text[1], NULL);
+	}
+}
+
+/* ---- calls ---- */
+
+static void wait_for(struct forward_follow *follow, gint64 us)
+{
+	cs_timer_arm(follow->engine->clock, &follow->timer,
+		     forward_now(follow->engine) + us);
+}
+
+static void hang_up(struct forward_follow *follow)
+{
+	follow->calling = false;
+	if (follow->call)
+		http1_call_close(follow->call);
+	follow->call = NULL;
+}
+
+static void next_seed(struct forward_follow *follow)
+{
+	hang_up(follow);
+	follow->seed = (follow->seed + 1) % follow->n_seeds;
+	if (is_self(follow, follow->seed))
+		follow->seed = (follow->seed + 1) % follow->n_seeds;
+}
+
+static void fail(struct forward_follow *follow, const char *reason)
+{
+	gint64 now = forward_now(follow->engine);
+	char at[CS_ENDPOINT_TEXT];
+
+	cs_endpoint_print(seed_at(follow, follow->seed), at);
+	cs_log(LOG_INFO, "seed-left", "seed", at, "reason", reason, NULL);
+	next_seed(follow);
+	follow->failures++;
+	if (!follow->is_seed && follow->failures >= follow->n_seeds &&
+	    now - follow->started_us >= START_GRACE_US) {
+		set_direct(follow, true, "no-seed");
+		follow->direct_until_us = now + DIRECT_US;
+	}
+	wait_for(follow, follow->failures < follow->n_seeds ? 0
+			 : follow->direct		    ? ROUND_US
+							    : AGAIN_US);
+}
+
+static void take_picture(struct forward_follow *follow, json_t *document,
+			 gint64 age_us)
+{
+	json_t *picture = json_object_get(document, "picture");
+	gint64 now = forward_now(follow->engine);
+
+	if (!picture)
+		return;
+	follow->source.offer(picture, follow->source.user);
+	forward_engine_confirm(follow->engine, now - age_us);
+}
+
+/* Return: whether the document is an answer of a seed. */
+static bool take_word(struct forward_follow *follow, json_t *document,
+		      gint64 *age_us)
+{
+	struct seed_word *word = &follow->words[follow->seed];
+	json_int_t all =
+		json_integer_value(json_object_get(document, "daemons"));
+	json_int_t in_zone = json_integer_value(
+		json_object_get(document, "daemons_in_zone"));
+	json_t *age = json_object_get(document, "age_ms");
+
+	if (all < 1 || all > G_MAXINT || in_zone < 0 || in_zone > all ||
+	    !json_is_integer(age) || json_integer_value(age) < 0)
+		return false;
+	*age_us = json_integer_value(age) * CS_US_PER_MS;
+	word->all = (guint)all;
+	word->in_zone = (guint)in_zone;
+	word->at_us = forward_now(follow->engine);
+	set_counts(follow);
+	return true;
+}
+
+static void after_answer(struct forward_follow *follow, gint64 age_us)
+{
+	gint64 now = forward_now(follow->engine);
+
+	if (follow->is_seed) {
+		follow->failures = 0;
+		next_seed(follow);
+		wait_for(follow, follow->engine->current ? ROUND_US : AGAIN_US);
+	} else if (age_us >= FORWARD_LATE_US) {
+		fail(follow, "late-picture");
+	} else {
+		follow->failures = 0;
+		if (now >= follow->direct_until_us)
+			set_direct(follow, false, "seed-current");
+		wait_for(follow, follow->direct ? ROUND_US : 0);
+	}
+}
+
+static bool on_answer(struct http1_call *call,
+		      const struct http1_message *message, void *user)
+{
+	struct forward_follow *follow = user;
+	json_t *document = NULL;
+	gint64 age_us = 0;
+
+	follow->calling = false;
+	cs_timer_disarm(follow->engine->clock, &follow->timer);
+	if (message->status == 200)
+		document = cs_json_parse((const char *)message->body->data,
+					 message->body->len, NULL);
+	if (!http1_call_idle(call)) {
+		http1_call_close(call);
+		follow->call = NULL;
+	}
+	if (document && take_word(follow, document, &age_us)) {
+		take_picture(follow, document, age_us);
+		after_answer(follow, age_us);
+	} else {
+		fail(follow, "bad-answer");
+	}
+	json_decref(document);
+	return true;
+}
+
+static void on_connected(struct http1_call *call, void *user)
+{
+}
+
+static void on_ended(struct http1_call *call, enum http1_failure why,
+		     void *user)
+{
+	struct forward_follow *follow = user;
+
+	follow->call = NULL;
+	if (follow->calling)
+		fail(follow,
+		     why == HTTP1_NOT_CONNECTED ? "not-connected" : "closed");
+}
+
+/* A seed that is current only says that it is up: its call comes back at once
+ * with nothing new. */
+static gint64 asked_after(const struct forward_follow *follow)
+{
+	return follow->source.revision(follow->source.user);
+}
+
+static void send_call(struct forward_follow *follow)
+{
+	const struct forward_settings *settings = follow->engine->settings;
+	g_autofree char *zone =
+		g_uri_escape_string(settings->zone, NULL, FALSE);
+	char own[CS_ENDPOINT_TEXT];
+	GString *head = g_string_new(NULL);
+
+	cs_endpoint_print(&settings->control, own);
+	g_string_printf(head,
+			"GET " FORWARD_FOLLOW_PATH
+			"control=%s&zone=%s&after=%" G_GINT64_FORMAT,
+			own, zone, asked_after(follow));
+	if (follow->is_seed)
+		forward_peers_print_members(follow->engine->peers, head);
+	g_string_append(head, " HTTP/1.1\r\nHost: seed\r\n\r\n");
+	http1_call_send(follow->call, head, NULL, 0, false);
+	g_string_free(head, TRUE);
+}
+
+static void begin_call(struct forward_follow *follow)
+{
+	struct http1_call_hooks hooks = {on_connected, on_answer, on_ended,
+					 follow};
+
+	if (!follow->call)
+		follow->call = http1_call_open(follow->engine->loop,
+					       seed_at(follow, follow->seed),
+					       &follow->limits, &hooks);
+	if (!follow->call) {
+		fail(follow, "no-socket");
+		return;
+	}
+	follow->calling = true;
+	send_call(follow);
+	wait_for(follow, asked_after(follow) ? ANSWER_US : FIRST_ANSWER_US);
+}
+
+static void on_timer(struct cs_timer *timer)
+{
+	struct forward_follow *follow = follow_of(timer);
+
+	if (follow->engine->phase != FORWARD_SERVING) {
+		hang_up(follow);
+		set_direct(follow, true, "draining");
+	} else if (follow->calling) {
+		fail(follow, "timeout");
+	} else {
+		begin_call(follow);
+	}
+}
+
+struct forward_follow *forward_follow_create(
+	struct forward_engine *engine, const struct forward_source *source)
+{
+	struct forward_follow *follow = g_new0(struct forward_follow, 1);
+
+	follow->engine = engine;
+	follow->started_us = forward_now(engine);
+	follow->source = *source;
+	follow->limits.header_bytes = 65536;
+	follow->limits.body_bytes = 16777216;
+	follow->n_seeds = engine->settings->seeds->len;
+	follow->words = g_new0(struct seed_word, MAX(follow->n_seeds, 1));
+	follow->timer.fire = on_timer;
+	for (guint i = 0; i < follow->n_seeds; i++)
+		follow->is_seed = follow->is_seed || is_self(follow, i);
+	if (!follow->n_seeds || !engine->settings->control.sin_port ||
+	    (follow->is_seed && follow->n_seeds == 1)) {
+		set_direct(follow, true, "no-seeds");
+		return follow;
+	}
+	if (follow->is_seed)
+		set_direct(follow, true, "seed");
+	follow->seed = (guint)g_random_int_range(0, (gint)follow->n_seeds);
+	if (is_self(follow, follow->seed))
+		follow->seed = (follow->seed + 1) % follow->n_seeds;
+	wait_for(follow, 0);
+	return follow;
+}
+
+void forward_follow_destroy(struct forward_follow *follow)
+{
+	if (!follow)
+		return;
+	cs_timer_disarm(follow->engine->clock, &follow->timer);
+	hang_up(follow);
+	g_free(follow->words);
+	g_free(follow);
+}
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -6,6 +6,7 @@
 
 struct forward_connection;
 struct forward_peers;
+struct forward_follow;
 struct forward_job;
 struct forward_part;
 struct forward_link;
@@ -119,6 +120,7 @@
 	TAILQ_HEAD(, forward_link) links;
 	TAILQ_HEAD(, forward_attempt) drained;
 	struct forward_peers *peers;
+	struct forward_follow *follow;
 	guint daemons; /* up, as far as known */
 	guint daemons_in_zone;
 	struct cs_timer tick;
@@ -176,10 +178,24 @@
 void forward_refuse(struct forward_job *job, int code);
 void forward_answer_free(struct forward_answer *answer);
 
-/* peers.c */
+/* peers.c: what other daemons ask of this one. */
 struct forward_peers *forward_peers_create(struct forward_engine *engine);
 void forward_peers_set_source(struct forward_peers *peers,
 			      const struct forward_source *source);
+void forward_peers_changed(struct forward_peers *peers);
+void forward_peers_print_members(struct forward_peers *peers, GString *query);
 void forward_peers_destroy(struct forward_peers *peers);
 
+/* follow.c: what this one asks of the seeds. */
+struct forward_follow *forward_follow_create(
+	struct forward_engine *engine, const struct forward_source *source);
+void forward_follow_destroy(struct forward_follow *follow);
+
+/* The call that a daemon makes at a seed. */
+#define FORWARD_FOLLOW_PATH "/v1/follow?"
+
+/* A picture older than this is told at once to those that follow: the seed's
+ * own watch of the platform is overdue. */
+#define FORWARD_LATE_US (1700 * CS_US_PER_MS)
+
 #endif
--- a/src/libforward/peers.c
+++ b/src/libforward/peers.c
@@ -1,309 +1,329 @@
 /*
- * The other daemons: how many there are in each zone, and the picture of one
- * that still reaches the platform.
+ * What other daemons ask of this one: how many daemons are up, and what has
+ * changed in the picture.
  *
- * Each daemon tells one seed after the other that it is up and gets the counts
- * that this seed has heard of: one small call per daemon and round, whatever
- * the size of the fleet.
+ * A daemon that is a seed hears from every other about once a second, by a
+ * call that waits here until the picture changes. So the volume is one small
+ * call per daemon and second, whatever the size of the fleet, and the platform
+ * is read by the seeds alone.
  */
 #include "internal.h"
 
 #include "cuminsail/endpoint.h"
-#include "cuminsail/json.h"
 #include "cuminsail/log.h"
 
+#include <stdlib.h>
 #include <string.h>
 
-/* One seed is told each round. */
-#define ROUND_US (1 * CS_US_PER_S)
+/* A daemon that was not heard of for this long is down, or calls another seed:
+ * three calls of a second each. */
+#define SILENT_US (3 * CS_US_PER_S)
 
-/* Before the first answer the rounds are shorter. */
-#define FIRST_ROUND_US (100 * CS_US_PER_MS)
+/* A seed's word of its own callers holds for this long: it calls one other seed
+ * after the other, each 1.5 to 2.5 s. */
+#define WORD_US (7 * CS_US_PER_S)
 
-/* A daemon that three seeds in turn have not heard of for two full turns and a
- * round is down. */
-#define SILENT_US (7 * CS_US_PER_S)
-
-/* The longest way between regions, twice, and a slow turn of the peer. */
-#define CALL_US (400 * CS_US_PER_MS)
-
-/* The platform is given this long before a peer is asked for its picture. */
-#define PICTURE_AFTER_US (600 * CS_US_PER_MS)
-
-#define JOIN_PATH    "/v1/join?"
-#define PICTURE_PATH "/v1/picture"
+/* Longest wait of a call; the caller finds a silent seed by it. */
+#define HOLD_MAX_US (1 * CS_US_PER_S)
 
 /* A daemon that told this one that it is up. */
 struct heard {
 	char *zone;
+	GHashTable *callers; /* of a seed: members that call it; else NULL */
 	gint64 at_us;
 };
 
-/* What one seed last said. */
-struct seed_word {
-	guint all;
-	guint in_zone;
-	gint64 at_us; /* 0: nothing yet */
+/* A call that waits for a change. */
+struct held {
+	TAILQ_ENTRY(held) link;
+	struct forward_peers *peers;
+	struct http1_exchange *exchange;
+	gint64 after;
+	char *zone;
+	struct cs_timer timer;
 };
 
 struct forward_peers {
 	struct forward_engine *engine;
 	struct http1_server *server;
 	GHashTable *heard; /* control address to struct heard */
-	struct seed_word *words; /* one for each seed */
-	guint next_seed;
-	struct http1_fetch *join;
-	guint join_seed; /* whom the join in progress went to */
-	struct http1_fetch *picture;
-	struct cs_timer timer;
+	TAILQ_HEAD(, held) held;
 	struct forward_source source;
 };
 
-#define peers_of(pointer)                                                      \
-	((struct forward_peers *)((char *)(pointer)-offsetof(                  \
-		struct forward_peers, timer)))
-
 static void free_heard(void *data)
 {
 	struct heard *heard = data;
 
 	g_free(heard->zone);
+	g_clear_pointer(&heard->callers, g_hash_table_unref);
 	g_free(heard);
 }
 
-/* ---- as a seed ---- */
-
-static void count_heard(struct forward_peers *peers, const char *zone,
-			guint *all, guint *in_zone)
+static void forget_silent(struct forward_peers *peers)
 {
 	gint64 now = forward_now(peers->engine);
 	GHashTableIter iter;
 	gpointer value;
 
-	*all = 1;
-	*in_zone = !strcmp(zone, peers->engine->settings->zone);
 	g_hash_table_iter_init(&iter, peers->heard);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct heard *heard = value;
 
-		if (now - heard->at_us > SILENT_US) {
+		if (now - heard->at_us > (heard->callers ? WORD_US : SILENT_US))
 			g_hash_table_iter_remove(&iter);
-			continue;
-		}
-		*all += 1;
-		*in_zone += !strcmp(zone, heard->zone);
 	}
 }
 
-static void hear(struct forward_peers *peers, const char *control,
-		 const char *zone)
+/* A set of daemons: hash of the control address to the zone. */
+static GHashTable *new_members(void)
 {
-	struct heard *heard = g_new0(struct heard, 1);
-	char own[CS_ENDPOINT_TEXT];
+	return g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
+				     g_free);
+}
 
-	cs_endpoint_print(&peers->engine->settings->control, own);
-	if (!strcmp(control, own)) {
-		g_free(heard);
-		return;
-	}
-	heard->zone = g_strdup(zone);
-	heard->at_us = forward_now(peers->engine);
-	g_hash_table_replace(peers->heard, g_strdup(control), heard);
+static void add_member(GHashTable *members, guint32 hash, const char *zone)
+{
+	g_hash_table_replace(members, GUINT_TO_POINTER(hash), g_strdup(zone));
 }
 
-static void serve_join(struct forward_peers *peers,
-		       struct http1_exchange *exchange, const char *query)
+/* This daemon and those that call it. */
+static GHashTable *own_members(struct forward_peers *peers)
 {
-	g_autoptr(GHashTable) words =
-		g_uri_parse_params(query, -1, "&", G_URI_PARAMS_NONE, NULL);
-	const char *control =
-		words ? g_hash_table_lookup(words, "control") : NULL;
-	const char *zone = words ? g_hash_table_lookup(words, "zone") : NULL;
-	struct http1_reply reply = {.status = 400};
-	struct sockaddr_in at;
-	char body[128];
-	guint all;
-	guint in_zone;
+	const struct forward_settings *settings = peers->engine->settings;
+	GHashTable *members = new_members();
+	char own[CS_ENDPOINT_TEXT];
+	GHashTableIter iter;
+	gpointer control;
+	gpointer value;
 
-	if (control && zone && !cs_endpoint_parse(control, &at)) {
-		hear(peers, control, zone);
-		count_heard(peers, zone, &all, &in_zone);
-		reply.status = 200;
-		reply.body = body;
-		reply.length = (gsize)g_snprintf(
-			body, sizeof(body),
-			"{\"daemons\": %u, \"daemons_in_zone\": %u}", all,
-			in_zone);
-	}
-	http1_exchange_reply(exchange, &reply);
+	forget_silent(peers);
+	cs_endpoint_print(&settings->control, own);
+	add_member(members, g_str_hash(own), settings->zone);
+	g_hash_table_iter_init(&iter, peers->heard);
+	while (g_hash_table_iter_next(&iter, &control, &value))
+		add_member(members, g_str_hash(control),
+			   ((const struct heard *)value)->zone);
+	return members;
 }
 
-static void serve_picture(struct forward_peers *peers,
-			  struct http1_exchange *exchange)
+static void add_all(GHashTable *members, GHashTable *more)
 {
-	g_autofree char *picture =
-		peers->source.export ? peers->source.export(peers->source.user)
-				     : NULL;
-	struct http1_reply reply = {.status = picture ? 200 : 503};
+	GHashTableIter iter;
+	gpointer hash;
+	gpointer zone;
 
-	reply.body = picture;
-	reply.length = picture ? strlen(picture) : 0;
-	http1_exchange_reply(exchange, &reply);
+	g_hash_table_iter_init(&iter, more);
+	while (g_hash_table_iter_next(&iter, &hash, &zone))
+		add_member(members, GPOINTER_TO_UINT(hash), zone);
 }
 
-static void on_request(struct http1_exchange *exchange,
-		       const struct http1_message *request, void *user)
+static void count_heard(struct forward_peers *peers, const char *zone,
+			guint *all, guint *in_zone)
 {
-	struct forward_peers *peers = user;
-	const char *target = request->target->str;
-	struct http1_reply none = {.status = 404};
-
-	if (g_str_has_prefix(target, JOIN_PATH))
-		serve_join(peers, exchange, target + strlen(JOIN_PATH));
-	else if (!strcmp(target, PICTURE_PATH))
-		serve_picture(peers, exchange);
-	else
-		http1_exchange_reply(exchange, &none);
+	g_autoptr(GHashTable) members = own_members(peers);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, peers->heard);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct heard *heard = value;
+
+		if (heard->callers)
+			add_all(members, heard->callers);
+	}
+	*all = g_hash_table_size(members);
+	*in_zone = 0;
+	g_hash_table_iter_init(&iter, members);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		*in_zone += !strcmp(value, zone);
 }
 
-static void on_gone(struct http1_exchange *exchange, void *user)
+void forward_peers_print_members(struct forward_peers *peers, GString *query)
 {
-}
+	g_autoptr(GHashTable) members = own_members(peers);
+	GHashTableIter iter;
+	gpointer hash;
+	gpointer zone;
 
-/* ---- as one that joins ---- */
+	g_string_append(query, "&callers=");
+	g_hash_table_iter_init(&iter, members);
+	while (g_hash_table_iter_next(&iter, &hash, &zone)) {
+		g_autofree char *name = g_uri_escape_string(zone, NULL, FALSE);
+
+		g_string_append_printf(query, "%08x:%s,",
+				       GPOINTER_TO_UINT(hash), name);
+	}
+}
 
-/* The greatest count of the seeds: one that has just started knows few. */
-static void set_counts(struct forward_peers *peers)
+/* Return: the members of a seed's word, or NULL if it is not one. */
+static GHashTable *read_members(const char *text)
 {
-	struct forward_engine *engine = peers->engine;
-	struct route_bounds bounds = engine->settings->bounds;
-	gint64 now = forward_now(engine);
-	guint all = 0;
-	guint in_zone = 0;
+	g_auto(GStrv) words = g_strsplit(text, ",", -1);
+	GHashTable *members = new_members();
 
-	for (guint i = 0; i < engine->settings->seeds->len; i++) {
-		const struct seed_word *word = &peers->words[i];
+	for (char **word = words; *word; word++) {
+		char *colon = strchr(*word, ':');
+		guint64 hash;
 
-		if (!word->at_us || now - word->at_us > SILENT_US)
+		if (!**word)
 			continue;
-		all = MAX(all, word->all);
-		in_zone = MAX(in_zone, word->in_zone);
+		if (colon)
+			*colon = '\0';
+		if (!colon || !g_ascii_string_to_unsigned(
+				      *word, 16, 0, G_MAXUINT32, &hash, NULL)) {
+			g_hash_table_unref(members);
+			return NULL;
+		}
+		add_member(members, (guint32)hash, colon + 1);
 	}
-	if (!all)
+	return members;
+}
+
+static void hear(struct forward_peers *peers, const char *control,
+		 const char *zone, const char *callers)
+{
+	char own[CS_ENDPOINT_TEXT];
+	struct heard *heard;
+
+	cs_endpoint_print(&peers->engine->settings->control, own);
+	if (!strcmp(control, own))
 		return;
-	bounds.daemons = MAX(all, 1);
-	bounds.daemons_in_zone = MAX(in_zone, 1);
-	if (bounds.daemons != engine->daemons ||
-	    bounds.daemons_in_zone != engine->daemons_in_zone) {
-		char text[2][FIGURE_TEXT];
-
-		g_snprintf(text[0], FIGURE_TEXT, "%u", bounds.daemons);
-		g_snprintf(text[1], FIGURE_TEXT, "%u", bounds.daemons_in_zone);
-		cs_log(LOG_NOTICE, "daemons", "all", text[0], "in_zone",
-		       text[1], NULL);
-	}
-	engine->daemons = bounds.daemons;
-	engine->daemons_in_zone = bounds.daemons_in_zone;
-	route_fleet_set_bounds(engine->fleet, &bounds);
+	heard = g_new0(struct heard, 1);
+	heard->zone = g_strdup(zone);
+	heard->callers = callers ? read_members(callers) : NULL;
+	heard->at_us = forward_now(peers->engine);
+	g_hash_table_replace(peers->heard, g_strdup(control), heard);
 }
 
-static void on_joined(const struct http1_message *answer, void *user)
+/* ---- answers ---- */
+
+static void answer(struct forward_peers *peers, struct http1_exchange *exchange,
+		   const char *zone, gint64 after)
 {
-	struct forward_peers *peers = user;
-	struct seed_word *word = &peers->words[peers->join_seed];
-	json_t *document = NULL;
-	json_int_t all = 0;
-	json_int_t in_zone = 0;
-
-	peers->join = NULL;
-	if (answer && answer->status == 200)
-		document = cs_json_parse((const char *)answer->body->data,
-					 answer->body->len, NULL);
-	all = json_integer_value(json_object_get(document, "daemons"));
-	in_zone = json_integer_value(
-		json_object_get(document, "daemons_in_zone"));
+	json_t *picture =
+		peers->source.export
+			? peers->source.export(after, peers->source.user)
+			: NULL;
+	struct http1_reply reply = {.status = 200};
+	json_t *document;
+	char *text;
+	guint all;
+	guint in_zone;
+
+	count_heard(peers, zone, &all, &in_zone);
+	document = json_pack("{s:I, s:I, s:I}", "daemons", (json_int_t)all,
+			     "daemons_in_zone", (json_int_t)in_zone, "age_ms",
+			     (json_int_t)(forward_picture_age(peers->engine) /
+					  CS_US_PER_MS));
+	if (picture)
+		json_object_set_new(document, "picture", picture);
+	text = cs_json_print(document);
 	json_decref(document);
-	if (all < 1 || all > G_MAXINT || in_zone < 1 || in_zone > all) {
-		cs_log(LOG_INFO, "seed-silent", NULL);
-		return;
-	}
-	word->all = (guint)all;
-	word->in_zone = (guint)in_zone;
-	word->at_us = forward_now(peers->engine);
-	set_counts(peers);
+	reply.body = text;
+	reply.length = strlen(text);
+	http1_exchange_reply(exchange, &reply);
+	g_free(text);
 }
 
-static const struct sockaddr_in *seed_at(const struct forward_peers *peers,
-					 guint i)
+static void free_held(struct held *held)
 {
-	return &g_array_index(peers->engine->settings->seeds,
-			      struct sockaddr_in, i);
+	cs_timer_disarm(held->peers->engine->clock, &held->timer);
+	TAILQ_REMOVE(&held->peers->held, held, link);
+	g_free(held->zone);
+	g_free(held);
 }
 
-static void join_next(struct forward_peers *peers)
+static void answer_held(struct held *held)
 {
-	const struct forward_settings *settings = peers->engine->settings;
-	char own[CS_ENDPOINT_TEXT];
-	g_autofree char *zone =
-		g_uri_escape_string(settings->zone, NULL, FALSE);
-	g_autofree char *target = NULL;
+	http1_exchange_set_data(held->exchange, NULL);
+	answer(held->peers, held->exchange, held->zone, held->after);
+	free_held(held);
+}
 
-	if (peers->join || !settings->seeds->len ||
-	    peers->engine->phase != FORWARD_SERVING)
-		return;
-	cs_endpoint_print(&settings->control, own);
-	target = g_strdup_printf(JOIN_PATH "control=%s&zone=%s", own, zone);
-	peers->join_seed = peers->next_seed;
-	peers->next_seed = (peers->next_seed + 1) % settings->seeds->len;
-	peers->join = http1_fetch_begin(peers->engine->loop,
-					seed_at(peers, peers->join_seed),
-					target, CALL_US, on_joined, peers);
+static void on_hold_end(struct cs_timer *timer)
+{
+	answer_held(
+		(struct held *)((char *)timer - offsetof(struct held, timer)));
 }
 
-static void on_picture(const struct http1_message *answer, void *user)
+/* A caller is answered at once if something is new, or the picture is late. */
+static bool has_news(const struct forward_peers *peers, gint64 after)
 {
-	struct forward_peers *peers = user;
+	if (!peers->source.revision)
+		return true;
+	return after <= 0 || after < peers->source.revision(peers->source.user);
+}
+
+static void hold(struct forward_peers *peers, struct http1_exchange *exchange,
+		 const char *zone, gint64 after)
+{
+	gint64 late_us = FORWARD_LATE_US - forward_picture_age(peers->engine);
+	struct held *held;
 
-	peers->picture = NULL;
-	if (!answer || answer->status != 200 || !peers->source.offer)
+	if (has_news(peers, after) || late_us <= 0) {
+		answer(peers, exchange, zone, after);
 		return;
-	peers->source.offer((const char *)answer->body->data, answer->body->len,
-			    peers->source.user);
+	}
+	held = g_new0(struct held, 1);
+	held->peers = peers;
+	held->exchange = exchange;
+	held->after = after;
+	held->zone = g_strdup(zone);
+	held->timer.fire = on_hold_end;
+	TAILQ_INSERT_TAIL(&peers->held, held, link);
+	http1_exchange_set_data(exchange, held);
+	cs_timer_arm(peers->engine->clock, &held->timer,
+		     forward_now(peers->engine) + MIN(HOLD_MAX_US, late_us));
 }
 
-/* While the platform is away, a peer may know more. */
-static void ask_picture(struct forward_peers *peers)
+void forward_peers_changed(struct forward_peers *peers)
 {
-	struct forward_engine *engine = peers->engine;
-	guint n = engine->settings->seeds->len;
+	struct held *held;
+	struct held *next;
 
-	if (engine->current || peers->picture || !n ||
-	    engine->phase != FORWARD_SERVING ||
-	    forward_picture_age(engine) < PICTURE_AFTER_US)
-		return;
-	peers->picture = http1_fetch_begin(
-		engine->loop, seed_at(peers, g_random_int_range(0, (gint)n)),
-		PICTURE_PATH, CALL_US, on_picture, peers);
+	for (held = TAILQ_FIRST(&peers->held); held; held = next) {
+		next = TAILQ_NEXT(held, link);
+		if (has_news(peers, held->after))
+			answer_held(held);
+	}
 }
 
-static bool knows_counts(const struct forward_peers *peers)
+static void on_request(struct http1_exchange *exchange,
+		       const struct http1_message *request, void *user)
 {
-	for (guint i = 0; i < peers->engine->settings->seeds->len; i++) {
-		if (peers->words[i].at_us)
-			return true;
+	struct forward_peers *peers = user;
+	const char *target = request->target->str;
+	struct http1_reply refusal = {.status = 404};
+	g_autoptr(GHashTable) words = NULL;
+	const char *control = NULL;
+	const char *zone = NULL;
+	const char *after = NULL;
+	struct sockaddr_in at;
+
+	if (g_str_has_prefix(target, FORWARD_FOLLOW_PATH))
+		words = g_uri_parse_params(target + strlen(FORWARD_FOLLOW_PATH),
+					   -1, "&", G_URI_PARAMS_NONE, NULL);
+	if (words) {
+		control = g_hash_table_lookup(words, "control");
+		zone = g_hash_table_lookup(words, "zone");
+		after = g_hash_table_lookup(words, "after");
+		refusal.status = 400;
 	}
-	return false;
+	if (!control || !zone || !after || cs_endpoint_parse(control, &at)) {
+		http1_exchange_reply(exchange, &refusal);
+		return;
+	}
+	hear(peers, control, zone, g_hash_table_lookup(words, "callers"));
+	hold(peers, exchange, zone, strtoll(after, NULL, 10));
 }
 
-static void on_timer(struct cs_timer *timer)
+static void on_gone(struct http1_exchange *exchange, void *user)
 {
-	struct forward_peers *peers = peers_of(timer);
-	gint64 round_us = knows_counts(peers) ? ROUND_US : FIRST_ROUND_US;
+	struct held *held = http1_exchange_data(exchange);
 
-	join_next(peers);
-	ask_picture(peers);
-	cs_timer_arm(peers->engine->clock, timer,
-		     forward_now(peers->engine) + round_us);
+	if (held)
+		free_held(held);
 }
 
 struct forward_peers *forward_peers_create(struct forward_engine *engine)
@@ -315,13 +335,11 @@
 	peers->engine = engine;
 	peers->heard = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     free_heard);
-	peers->words = g_new0(struct seed_word, engine->settings->seeds->len);
-	peers->timer.fire = on_timer;
+	TAILQ_INIT(&peers->held);
 	if (engine->settings->control.sin_port)
 		peers->server = http1_server_create(
 			engine->loop, &engine->settings->control,
 			&engine->page_limits, &hooks);
-	cs_timer_arm(engine->clock, &peers->timer, forward_now(engine));
 	return peers;
 }
 
@@ -335,11 +353,7 @@
 {
 	if (!peers)
 		return;
-	cs_timer_disarm(peers->engine->clock, &peers->timer);
-	http1_fetch_cancel(peers->join);
-	http1_fetch_cancel(peers->picture);
 	http1_server_destroy(peers->server);
 	g_hash_table_unref(peers->heard);
-	g_free(peers->words);
 	g_free(peers);
 }
--- a/src/libroute/choose.c
+++ b/src/libroute/choose.c
@@ -52,6 +52,9 @@
 /* Share of a replica's connections that its own zone's daemons get. */
 #define NEAR_SHARE 0.55
 
+/* Daemons seldom need their far connections at the same time. */
+#define FAR_OVERCOMMIT 2
+
 double route_distance_us(enum route_distance distance)
 {
 	switch (distance) {
@@ -174,7 +177,7 @@
 	if (replica->distance == ROUTE_SAME_ZONE)
 		share = all * NEAR_SHARE / bounds->daemons_in_zone;
 	else
-		share = all * (1 - NEAR_SHARE) /
+		share = all * (1 - NEAR_SHARE) * FAR_OVERCOMMIT /
 			MAX(bounds->daemons - bounds->daemons_in_zone, 1);
 	return share < 1 ? 1 : (guint)share;
 }
