Estimates by route and replica: work, slowness and the way learned apart

Cause: one estimate per pool mixed requests of 5 and 15 ms; hedges of the light ones came after 33 to 61 ms of an objective of 100, and half of their answers left 100.4 ms after the caller's start (the margin of 8 ms is less than the caller's connection and way). A replica without an idle connection cost as much as one with it. Change: moving averages of a route's work, a replica's slowness and a zone's round trip; hedge at the work and three deviations; margin of 14 ms; opening a connection has its price; two connections are opened at a time, none while a replica resets them; spare idle connections live 2 s, the last one 12 s.

--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -184,10 +184,17 @@
 
 struct route_replica;
 
+/** How long the requests of a route take at a usual replica. */
+struct route_work {
+	double us; /* moving average, without the way */
+	double deviation; /* mean, as a share of it */
+};
+
 /** One request sent to a replica. Embed it; zero-initialised means idle. */
 struct route_attempt {
 	TAILQ_ENTRY(route_attempt) link;
 	struct route_replica *replica;
+	struct route_work *work;
 	gint64 sent_us;
 };
 
@@ -211,7 +218,9 @@
 	TAILQ_HEAD(, route_attempt) open;
 	guint n_open;
 	guint connections; /* open ones, kept by the owner */
-	double latency_us; /* moving average; 0 before the first */
+	guint connecting; /* of these, the ones not yet there */
+	gint64 crowded_until_us; /* it resets new connections */
+	double slowness; /* moving average: 1 is usual for its route's work */
 	gint64 sampled_us;
 	double failure_rate; /* moving average, 0 to 1 */
 	gint64 failed_us; /* when it last moved */
@@ -380,6 +389,13 @@
  */
 guint route_replica_connections(const struct route_replica *replica);
 
+/**
+ * route_replica_crowded - a replica reset a connection before its first answer
+ * @replica: it takes no further connections from all daemons together
+ * @now_us: the clock
+ */
+void route_replica_crowded(struct route_replica *replica, gint64 now_us);
+
 /* ---- choosing ---- */
 
 /** Most replicas that one part of a request is sent to. */
@@ -388,6 +404,7 @@
 /** What a part of a request needs. */
 struct route_ask {
 	const struct route *route;
+	const struct route_work *work;
 	struct route_replica *const *tried; /* not to be asked again */
 	guint n_tried;
 };
@@ -413,14 +430,32 @@
 					gint64 now_us, enum route_lack *lack);
 
 /**
- * route_pool_hedge_us - how long an attempt may take before a second one pays
- * @pool: a pool
+ * route_fleet_work - what is known of a route's work
+ * @fleet: a fleet
+ * @route: one of its routes; known by its name across versions
+ *
+ * Return: owned by the fleet.
+ */
+struct route_work *route_fleet_work(struct route_fleet *fleet,
+				    const struct route *route);
+
+/**
+ * route_hedge_us - how long an attempt may take before a second one pays
+ * @work: of the route
  * @replica: whom the first attempt went to
+ * @now_us: the clock
  *
  * Return: microseconds after it was sent.
  */
-gint64 route_pool_hedge_us(const struct route_pool *pool,
-			   const struct route_replica *replica);
+gint64 route_hedge_us(const struct route_work *work,
+		      const struct route_replica *replica, gint64 now_us);
+
+/**
+ * route_replica_connected - a connection came about
+ * @replica: to whom
+ * @us: how long it took
+ */
+void route_replica_connected(struct route_replica *replica, gint64 us);
 
 /**
  * route_pool_earn - a request of a caller arrived for this service
@@ -471,10 +506,12 @@
  * route_attempt_begin - an attempt is sent
  * @attempt: idle; the replica is referenced until route_attempt_end()
  * @replica: as chosen
+ * @work: of the route
  * @now_us: the clock
  */
 void route_attempt_begin(struct route_attempt *attempt,
-			 struct route_replica *replica, gint64 now_us);
+			 struct route_replica *replica, struct route_work *work,
+			 gint64 now_us);
 
 /**
  * route_attempt_end - an attempt is over
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -36,7 +36,8 @@
 	struct forward_link *carrier;
 	struct http1_call *call;
 	struct forward_attempt *attempt; /* NULL while idle */
-	gint64 used_us; /* when it became idle */
+	gint64 used_us; /* when it became idle; 0 before its first answer */
+	bool connecting;
 	gint64 until_us; /* when the replica may close it */
 };
 
@@ -77,6 +78,7 @@
 	struct http1_exchange *exchange; /* NULL once the caller is gone */
 	struct route_table *table;
 	struct route *route;
+	struct route_work *work;
 	const struct http1_message *request;
 	const char *request_id; /* in the request */
 	gint64 started_us;
--- a/src/libforward/job.c
+++ b/src/libforward/job.c
@@ -8,9 +8,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* The answer leaves this long before the time that it is meant for: the way
- * to the caller and a turn of the loop. */
-#define ANSWER_MARGIN_US (8 * CS_US_PER_MS)
+/* The answer leaves this long before the time that it is meant for: the
+ * caller's new connection and request and the answer, 3 ms a way on the largest
+ * deployments, and a turn of the loop. */
+#define ANSWER_MARGIN_US (14 * CS_US_PER_MS)
 
 /* A connection that takes longer than this is given up for another replica:
  * 40 ms between regions and 6 ms to open, twice over. */
@@ -107,7 +108,8 @@
 static struct route_replica *choose(struct forward_part *part,
 				    enum route_lack *lack)
 {
-	struct route_ask ask = {part->job->route, part->tried, part->n_tried};
+	struct route_ask ask = {part->job->route, part->job->work, part->tried,
+				part->n_tried};
 
 	return route_pool_choose(part->pool, &ask,
 				 forward_now(part->job->engine), lack);
@@ -462,6 +464,7 @@
 	job->exchange = exchange;
 	job->table = route_table_ref(engine->table);
 	job->route = route;
+	job->work = route_fleet_work(engine->fleet, route);
 	job->request = request;
 	job->request_id =
 		http1_message_get(request, engine->dialect->request_id);
--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -7,8 +7,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Longest life of an unused connection when the replica names none. */
-#define IDLE_MAX_US (8 * CS_US_PER_S)
+/* Longest life of the one unused connection that is kept to a replica, and of
+ * further ones. Replicas count the connections of a machine without power until
+ * they time out, so spare ones cost its successor its place. */
+#define IDLE_MAX_US  (12 * CS_US_PER_S)
+#define SPARE_MAX_US (2 * CS_US_PER_S)
 
 /* A connection is left this long before the time that the replica names. */
 #define IDLE_MARGIN_US (700 * CS_US_PER_MS)
@@ -41,6 +44,7 @@
 static void free_connection(struct forward_connection *connection)
 {
 	connection->carrier->replica->connections--;
+	connection->carrier->replica->connecting -= connection->connecting;
 	g_free(connection);
 }
 
@@ -268,15 +272,21 @@
 	struct forward_attempt *attempt = connection->attempt;
 	struct forward_engine *engine = connection->carrier->engine;
 
+	connection->carrier->replica->connecting--;
+	connection->connecting = false;
 	if (!attempt)
 		return;
+	forward_room(engine);
+	route_replica_connected(connection->carrier->replica,
+				forward_now(engine) - attempt->route.sent_us);
 	attempt->connected = true;
 	attempt->route.sent_us = forward_now(engine);
 	if (attempt->part) {
 		attempt->part->n_unproven++;
 		attempt->hedge_us = attempt->route.sent_us +
-				    route_pool_hedge_us(attempt->part->pool,
-							attempt->route.replica);
+				    route_hedge_us(attempt->route.work,
+						   attempt->route.replica,
+						   attempt->route.sent_us);
 		forward_job_look(attempt->part->job);
 	}
 }
@@ -295,6 +305,9 @@
 		return;
 	}
 	part = attempt->part;
+	if (!not_run && !connection->used_us)
+		route_replica_crowded(connection->carrier->replica,
+				      forward_now(connection->carrier->engine));
 	log_attempt(attempt, "attempt-lost",
 		    not_run		  ? "not-connected"
 		    : why == HTTP1_CLOSED ? "closed"
@@ -343,6 +356,8 @@
 		return NULL;
 	}
 	carrier->replica->connections++;
+	carrier->replica->connecting++;
+	connection->connecting = true;
 	cs_counters_add(carrier->engine->counters, CS_N_CONNECTIONS, 1);
 	return connection;
 }
@@ -419,10 +434,10 @@
 	attempt->connection = connection;
 	attempt->drain.fire = on_drain_limit;
 	attempt->request_id = g_strdup(job->request_id);
-	attempt->hedge_us = now + route_pool_hedge_us(part->pool, replica);
+	attempt->hedge_us = now + route_hedge_us(job->work, replica, now);
 	connection->attempt = attempt;
 	TAILQ_INSERT_TAIL(&part->attempts, attempt, link);
-	route_attempt_begin(&attempt->route, replica, now);
+	route_attempt_begin(&attempt->route, replica, job->work, now);
 	cs_counters_add(engine->counters, CS_N_PARTS, 1);
 	write_head(job, replica);
 	http1_call_send(connection->call, engine->head, request->body->data,
@@ -441,7 +456,9 @@
 	for (connection = TAILQ_FIRST(&carrier->idle); connection;
 	     connection = next) {
 		next = TAILQ_NEXT(connection, link);
-		if (now >= connection->until_us || !carrier->replica->pool)
+		if (now >= connection->until_us || !carrier->replica->pool ||
+		    (connection != TAILQ_FIRST(&carrier->idle) &&
+		     now - connection->used_us > SPARE_MAX_US))
 			close_idle(connection);
 	}
 }
--- a/src/libroute/choose.c
+++ b/src/libroute/choose.c
@@ -4,99 +4,33 @@
 #include <math.h>
 #include <string.h>
 
-/* Round trips until a replica's own samples tell, by distance. The far one is
- * between the two regions' distances of today, 24 and 40 ms. */
-#define SAME_ZONE_US   800
-#define SAME_REGION_US 2000
-#define FAR_US	       32000
-
-/* Work of a service that nobody has asked yet. */
-#define FIRST_WORK_US 20000
-
-/* Weight of a new sample in the moving averages. */
-#define SAMPLE_WEIGHT 0.2
-
-/* A sample counts as at most this many times the estimate. */
-#define SAMPLE_FACTOR_MAX 3.0
-
-/* A sample loses half of its say in this time, so that a replica that was slow
- * or failing is tried again. */
-#define FORGET_HALF_US (3.0 * CS_US_PER_S)
-
 /* What a failure costs a request: a second attempt, and often the whole answer,
  * since the second is the last one that most routes allow. */
 #define FAILURE_COST_US 300000
 
-/* Weight of one outcome in the failure rate: a single failure does not outweigh
- * the way to another region, two in a row do. */
-#define FAILURE_WEIGHT 0.1
-
-/* A cold replica works this much slower, by the sites' figures. */
-#define COLD_FACTOR 1.6
-
 /* An attempt this many times over its estimate, and this much in all, shows
  * that its replica stands still. */
 #define OVERDUE_FACTOR 2.5
-#define OVERDUE_US     15000
+#define OVERDUE_US     10000
 
-/* First pause after a failure; doubled for each further one in a row. A pause
- * of a replica lasts 200 to 300 ms. */
-#define SUSPECT_US	  (200 * CS_US_PER_MS)
-#define SUSPECT_DOUBLINGS 4
-
-/* A hedge waits for the estimate and this many deviations: at four, one in
- * twenty answers of a log-normal service is later. */
-#define HEDGE_DEVIATIONS 3.0
-#define HEDGE_MIN_US	 8000
+/* A replica takes this long to open a connection, by the sites' figures. */
+#define OPEN_US 6000
 
 /* Share of a replica's connections that its own zone's daemons get. */
 #define NEAR_SHARE 0.55
 
-/* Daemons seldom need their far connections at the same time. */
-#define FAR_OVERCOMMIT 2
-
-double route_distance_us(enum route_distance distance)
-{
-	switch (distance) {
-	case ROUTE_SAME_ZONE:
-		return SAME_ZONE_US;
-	case ROUTE_SAME_REGION:
-		return SAME_REGION_US;
-	case ROUTE_FAR:
-	case ROUTE_DISTANCES:
-		break;
-	}
-	return FAR_US;
-}
+/* Connections to one replica that are being opened at once: each holds one of
+ * its slots for some milliseconds. */
+#define CONNECTING_MAX 2
 
-/* Share of its say that a figure of this age still has. */
-static double say(gint64 age_us)
-{
-	return exp2(-(double)age_us / FORGET_HALF_US);
-}
+/* After a replica reset a new connection it gets no further one for so long:
+ * the time in which some requests end. */
+#define CROWDED_US (200 * CS_US_PER_MS)
 
-static double usual_us(const struct route_pool *pool,
-		       const struct route_replica *replica)
-{
-	double work = pool->work_us > 0 ? pool->work_us : FIRST_WORK_US;
-
-	return route_distance_us(replica->distance) + work;
-}
-
-double route_expected_us(const struct route_pool *pool,
-			 const struct route_replica *replica, gint64 now_us)
-{
-	double usual = usual_us(pool, replica);
-	double weight;
-
-	if (!replica->sampled_us)
-		return replica->cold_until_us > now_us ? usual * COLD_FACTOR
-						       : usual;
-	weight = say(now_us - replica->sampled_us);
-	return replica->latency_us * weight + usual * (1 - weight);
-}
+/* Daemons seldom need their far connections at the same time. */
+#define FAR_OVERCOMMIT 2
 
-static bool is_overdue(const struct route_pool *pool,
+static bool is_overdue(const struct route_ask *ask,
 		       const struct route_replica *replica, gint64 now_us)
 {
 	const struct route_attempt *oldest = TAILQ_FIRST(&replica->open);
@@ -104,7 +38,8 @@
 	if (!oldest)
 		return false;
 	return (double)(now_us - oldest->sent_us) >
-	       OVERDUE_FACTOR * route_expected_us(pool, replica, now_us) +
+	       OVERDUE_FACTOR * route_expected_us(oldest->work, replica,
+						  now_us) +
 		       OVERDUE_US;
 }
 
@@ -116,13 +51,13 @@
 	TIER_NONE,
 };
 
-static enum tier tier_of(const struct route_pool *pool,
+static enum tier tier_of(const struct route_ask *ask,
 			 const struct route_replica *replica, gint64 now_us)
 {
 	if (replica->lapsed_us)
 		return TIER_LAPSED;
 	if (now_us < replica->suspect_until_us ||
-	    is_overdue(pool, replica, now_us))
+	    is_overdue(ask, replica, now_us))
 		return TIER_STILL;
 	return TIER_SOUND;
 }
@@ -182,15 +117,35 @@
 	return share < 1 ? 1 : (guint)share;
 }
 
-static double cost_us(const struct route_pool *pool,
+void route_replica_crowded(struct route_replica *replica, gint64 now_us)
+{
+	replica->crowded_until_us = now_us + CROWDED_US;
+}
+
+/* Whether a connection is idle, or one more may be opened. */
+static bool has_connection(const struct route_replica *replica, gint64 now_us)
+{
+	if (replica->n_open >= route_replica_connections(replica))
+		return false;
+	if (replica->connections > replica->n_open)
+		return true;
+	if (now_us < replica->crowded_until_us)
+		return !replica->connections;
+	return replica->connecting < CONNECTING_MAX;
+}
+
+/* Time until an answer, with what stands before it. */
+static double cost_us(const struct route_ask *ask,
 		      const struct route_replica *replica, gint64 now_us)
 {
-	double expected = route_expected_us(pool, replica, now_us);
+	double expected = route_expected_us(ask->work, replica, now_us);
 	double queue = 2.0 * replica->n_open / (double)replica->slots;
-	double failures = replica->failure_rate *
-			  say(now_us - replica->failed_us) * FAILURE_COST_US;
+	double cost = expected * (1 + queue) +
+		      route_failure_rate(replica, now_us) * FAILURE_COST_US;
 
-	return expected * (1 + queue) + failures;
+	if (replica->connections <= replica->n_open)
+		cost += route_round_trip_us(replica) + OPEN_US;
+	return cost;
 }
 
 struct route_replica *route_pool_choose(struct route_pool *pool,
@@ -211,11 +166,11 @@
 			continue;
 		if (*lack == ROUTE_LACK_REPLICA)
 			*lack = ROUTE_LACK_ROOM;
-		if (replica->n_open >= route_replica_connections(replica) ||
+		if (!has_connection(replica, now_us) ||
 		    !has_cold_room(pool, replica, now_us))
 			continue;
-		tier = tier_of(pool, replica, now_us);
-		cost = cost_us(pool, replica, now_us);
+		tier = tier_of(ask, replica, now_us);
+		cost = cost_us(ask, replica, now_us);
 		if (best && (tier > best_tier ||
 			     (tier == best_tier && cost >= best_cost)))
 			continue;
@@ -227,116 +182,3 @@
 		*lack = ROUTE_LACK_NONE;
 	return best;
 }
-
-gint64 route_pool_hedge_us(const struct route_pool *pool,
-			   const struct route_replica *replica)
-{
-	double expected = usual_us(pool, replica);
-	double deviation = pool->work_us > 0 ? pool->deviation_us : expected;
-
-	if (replica->sampled_us)
-		expected = MAX(expected, replica->latency_us);
-	/* A replica known to be slow is not waited for any longer. */
-	expected = MIN(expected, 2 * usual_us(pool, replica));
-	return MAX((gint64)(expected + HEDGE_DEVIATIONS * deviation),
-		   HEDGE_MIN_US);
-}
-
-/* ---- attempts ---- */
-
-void route_attempt_begin(struct route_attempt *attempt,
-			 struct route_replica *replica, gint64 now_us)
-{
-	attempt->replica = route_replica_ref(replica);
-	attempt->sent_us = now_us;
-	TAILQ_INSERT_TAIL(&replica->open, attempt, link);
-	replica->n_open++;
-	if (replica->cold_until_us > now_us && replica->cold_tokens >= 1)
-		replica->cold_tokens -= 1;
-}
-
-static void move(double *average, double sample)
-{
-	*average += SAMPLE_WEIGHT * (sample - *average);
-}
-
-static void learn_latency(struct route_replica *replica, double sample,
-			  gint64 now_us)
-{
-	struct route_pool *pool = replica->pool;
-	double expected = route_expected_us(pool, replica, now_us);
-	double work = MAX(sample - route_distance_us(replica->distance), 100.0);
-
-	if (pool->work_us <= 0) {
-		pool->work_us = work;
-		pool->deviation_us = work / 2;
-	} else {
-		/* Pauses and slow replicas are not the service's own time. */
-		move(&pool->deviation_us,
-		     MIN(fabs(sample - expected), 2 * pool->work_us));
-		move(&pool->work_us, MIN(work, 4 * pool->work_us));
-	}
-	/* One pause must not turn a replica away; a slow one soon does. */
-	sample = MIN(sample, SAMPLE_FACTOR_MAX * expected);
-	replica->latency_us = expected + SAMPLE_WEIGHT * (sample - expected);
-	replica->sampled_us = now_us;
-}
-
-static void learn_failure(struct route_replica *replica, double failed,
-			  gint64 now_us)
-{
-	replica->failure_rate *= say(now_us - replica->failed_us);
-	replica->failure_rate +=
-		FAILURE_WEIGHT * (failed - replica->failure_rate);
-	replica->failed_us = now_us;
-}
-
-static void suspect(struct route_replica *replica, gint64 now_us)
-{
-	guint doublings = MIN(replica->failure_run, SUSPECT_DOUBLINGS);
-
-	replica->suspect_until_us = now_us + (SUSPECT_US << doublings);
-	replica->failure_run++;
-}
-
-static void learn(struct route_replica *replica, enum route_result result,
-		  gint64 sent_us, gint64 now_us)
-{
-	switch (result) {
-	case ROUTE_GOOD:
-		replica->failure_run = 0;
-		replica->suspect_until_us = 0;
-		learn_failure(replica, 0, now_us);
-		learn_latency(replica, (double)(now_us - sent_us), now_us);
-		break;
-	case ROUTE_SHED:
-		learn_failure(replica, 1, now_us);
-		break;
-	case ROUTE_MISPLACED:
-		replica->misplaced = true;
-		break;
-	case ROUTE_FAILED:
-		learn_failure(replica, 1, now_us);
-		replica->failure_run++;
-		break;
-	case ROUTE_UNREACHED:
-		learn_failure(replica, 1, now_us);
-		suspect(replica, now_us);
-		break;
-	case ROUTE_DROPPED:
-		break;
-	}
-}
-
-void route_attempt_end(struct route_attempt *attempt, enum route_result result,
-		       gint64 now_us)
-{
-	struct route_replica *replica = attempt->replica;
-
-	TAILQ_REMOVE(&replica->open, attempt, link);
-	replica->n_open--;
-	if (replica->pool)
-		learn(replica, result, attempt->sent_us, now_us);
-	attempt->replica = NULL;
-	route_replica_unref(replica);
-}
--- a/src/libroute/fleet.c
+++ b/src/libroute/fleet.c
@@ -27,6 +27,10 @@
 	fleet->replicas = g_hash_table_new(g_str_hash, g_str_equal);
 	fleet->evacuated =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	fleet->works =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fleet->round_trips =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return fleet;
 }
 
@@ -59,6 +63,8 @@
 	g_hash_table_unref(fleet->replicas);
 	g_hash_table_unref(fleet->pools);
 	g_hash_table_unref(fleet->evacuated);
+	g_hash_table_unref(fleet->works);
+	g_hash_table_unref(fleet->round_trips);
 	g_hash_table_unref(fleet->regions);
 	route_table_unref(fleet->table);
 	g_free(fleet->zone);
--- a/src/libroute/fleet.h
+++ b/src/libroute/fleet.h
@@ -13,8 +13,6 @@
 	TAILQ_HEAD(, route_replica) replicas;
 	gint64 connections_max;
 	double cold_per_s;
-	double work_us; /* moving average without the distance; 0: none yet */
-	double deviation_us; /* mean distance of a sample from its estimate */
 	gint64 budget_step; /* number of the current step of the window */
 	guint asked[ROUTE_BUDGET_STEPS]; /* requests of callers */
 	guint extra[ROUTE_BUDGET_STEPS]; /* retries and hedges */
@@ -27,6 +25,8 @@
 	GHashTable *pools; /* name to struct route_pool */
 	GHashTable *replicas; /* id to struct route_replica, listed or lapsed */
 	GHashTable *evacuated; /* set of zone names */
+	GHashTable *works; /* name of a route to struct route_work */
+	GHashTable *round_trips; /* zone name to double, microseconds */
 	struct route_table *table;
 	struct route_bounds bounds;
 	guint lapsed;
@@ -34,21 +34,30 @@
 
 /**
  * route_expected_us - time until an idle replica's answer
- * @pool: its pool
- * @replica: a replica
+ * @work: of the route
+ * @replica: a replica in a pool
  * @now_us: the clock
  *
  * Return: microseconds.
  */
-double route_expected_us(const struct route_pool *pool,
+double route_expected_us(const struct route_work *work,
 			 const struct route_replica *replica, gint64 now_us);
 
 /**
- * route_distance_us - round trip to a distance
- * @distance: how far
+ * route_round_trip_us - the way to a replica and back
+ * @replica: a replica in a pool
  *
  * Return: microseconds.
  */
-double route_distance_us(enum route_distance distance);
+double route_round_trip_us(const struct route_replica *replica);
+
+/**
+ * route_failure_rate - how often a replica fails just now
+ * @replica: a replica
+ * @now_us: the clock
+ *
+ * Return: 0 to 1.
+ */
+double route_failure_rate(const struct route_replica *replica, gint64 now_us);
 
 #endif
