--- a/test/unit/net.c
+++ b/test/unit/net.c
@@ -101,6 +101,9 @@
 
 static void end_connection(struct script_connection *connection)
 {
+	if (connection->watch.fd < 0)
+		return;
+	connection->script->open_now--;
 	http1_loop_remove(connection->script->net->loop, &connection->watch);
 }
 
@@ -145,6 +148,7 @@
 	connection->watch.fd = accept(watch->fd, NULL, NULL);
 	connection->watch.ready = on_ready;
 	script->connections++;
+	script->open_now++;
 	g_ptr_array_add(script->open, connection);
 	http1_loop_add(script->net->loop, &connection->watch, EPOLLIN);
 }
--- a/test/unit/net.h
+++ b/test/unit/net.h
@@ -42,6 +42,7 @@
 	bool close; /* after the reply */
 	guint requests;
 	guint connections;
+	guint open_now;
 	GString *got; /* all that was read */
 	GPtrArray *open;
 };
