Hedges that were never sent go to another replica

Change: such a hedge is refunded and tried elsewhere at once; a replica that refuses connections is left for 0.8 to 3.2 s (0.2 to 3.2 s). Test: a_hedge_that_was_never_sent_goes_to_another_replica, red before.

--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -485,6 +485,13 @@
 bool route_pool_spend(struct route_pool *pool, enum route_extra extra,
 		      gint64 now_us);
 
+/**
+ * route_pool_refund - an extra request was never sent
+ * @pool: a pool
+ * @now_us: the clock
+ */
+void route_pool_refund(struct route_pool *pool, gint64 now_us);
+
 /**
  * route_pool_budget - what is left of the budget
  * @pool: a pool
--- a/src/libforward/job.c
+++ b/src/libforward/job.c
@@ -262,6 +262,16 @@
 	return false;
 }
 
+/* The hedge was never sent: the first attempt is as late as before. */
+static void hedge_again(struct forward_part *part)
+{
+	struct forward_engine *engine = part->job->engine;
+
+	route_pool_refund(part->pool, forward_now(engine));
+	TAILQ_FIRST(&part->attempts)->hedge_us = forward_now(engine);
+	forward_job_look(part->job);
+}
+
 void forward_part_lost(struct forward_part *part, int reason,
 		       enum forward_fate fate)
 {
@@ -272,8 +282,11 @@
 	part->reason = reason;
 	if (fate == FORWARD_UNSENT)
 		part->n_sent--;
-	if (!TAILQ_EMPTY(&part->attempts))
+	if (!TAILQ_EMPTY(&part->attempts)) {
+		if (fate == FORWARD_UNSENT)
+			hedge_again(part);
 		return;
+	}
 	if (may_repeat(part, fate)) {
 		log_part(part, "retry", cs_error_name(reason), NULL, 0);
 		cs_counters_add(job->engine->counters, CS_N_RETRIES, 1);
@@ -322,6 +335,11 @@
 	forward_attempt_cut(attempt);
 	part->n_sent--;
 	part->reason = CS_E_LOST;
+	if (!TAILQ_EMPTY(&part->attempts)) {
+		route_pool_refund(part->pool, forward_now(part->job->engine));
+		TAILQ_FIRST(&part->attempts)->hedge_us =
+			forward_now(part->job->engine);
+	}
 	if (TAILQ_EMPTY(&part->attempts) && part->n_tried < ROUTE_TRIED_MAX)
 		forward_part_try(part);
 	else if (TAILQ_EMPTY(&part->attempts))
--- a/src/libroute/budget.c
+++ b/src/libroute/budget.c
@@ -79,3 +79,13 @@
 	pool->extra[at]++;
 	return true;
 }
+
+void route_pool_refund(struct route_pool *pool, gint64 now_us)
+{
+	guint at;
+
+	advance(pool, now_us);
+	at = (guint)(pool->budget_step % ROUTE_BUDGET_STEPS);
+	if (pool->extra[at])
+		pool->extra[at]--;
+}
--- a/src/libroute/estimate.c
+++ b/src/libroute/estimate.c
@@ -44,10 +44,10 @@
 /* A cold replica works this much slower, by the sites' figures. */
 #define COLD_FACTOR 1.6
 
-/* First pause after a failure; doubled for each further one in a row. A pause
- * of a replica lasts 200 to 300 ms. */
-#define SUSPECT_US	  (200 * CS_US_PER_MS)
-#define SUSPECT_DOUBLINGS 4
+/* First pause after a connection that did not come about; doubled for each
+ * further one in a row. A replica that went down is listed for 3.6 s more. */
+#define SUSPECT_US	  (800 * CS_US_PER_MS)
+#define SUSPECT_DOUBLINGS 2
 
 /* A hedge waits for the estimate and this many mean deviations: of a log-normal
  * service three answers in a hundred are later. */
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -345,6 +345,35 @@
 }
 END_TEST
 
+/*
+ * incident of pliega-busca: hedges went to replicas that had crashed and were
+ * still listed; the part then waited for its slow first attempt alone.
+ */
+START_TEST(a_hedge_that_was_never_sent_goes_to_another_replica)
+{
+	struct world2 world;
+	struct net_client *client;
+	struct route_entry entry = {.id = "third",
+				    .service = "s0",
+				    .zone = "far",
+				    .address = net_address(PORT_REPLICA + 2),
+				    .slots = 4};
+
+	world2_create(&world);
+	world2_publish(&world);
+	route_fleet_put(forward_engine_fleet(world.engine), &entry,
+			cs_clock_now(world.net.clock));
+	script(&world, 0, NULL, false);
+	script(&world, 2, signed_answer(2, 200, "third"), false);
+	client = ask(&world, "GET /one/");
+	net_pass(&world.net, 60);
+	net_read(client);
+	ck_assert_uint_eq(status_of(client), 200);
+	net_close(client);
+	world2_destroy(&world);
+}
+END_TEST
+
 START_TEST(work_for_a_caller_that_left_is_cut_within_half_a_second)
 {
 	struct world2 world;
@@ -534,6 +563,7 @@
 	  what_a_failed_attempt_leads_to,
 	  a_refusal_that_promises_not_run_is_true,
 	  a_silent_replica_is_hedged_or_waited_for,
+	  a_hedge_that_was_never_sent_goes_to_another_replica,
 	  work_for_a_caller_that_left_is_cut_within_half_a_second,
 	  parts_are_merged_and_what_is_missing_is_said,
 	  too_many_shards_without_replica_are_refused_unsent,
