--- a/include/cuminsail/forward.h
+++ b/include/cuminsail/forward.h
@@ -82,6 +82,17 @@
  */
 void forward_engine_destroy(struct forward_engine *engine);
 
+/**
+ * forward_engine_reload - take up changed settings; cuts nothing
+ * @engine: an engine
+ * @settings: must outlive the engine or the next reload
+ *
+ * Bounds, seeds, stop time and the connection limit change at once. Addresses
+ * and names need a restart; a log line says which differ.
+ */
+void forward_engine_reload(struct forward_engine *engine,
+			   const struct forward_settings *settings);
+
 /**
  * forward_engine_stop - begin a graceful shutdown; a second call ends it
  * @engine: an engine
--- a/src/libforward/engine.c
+++ b/src/libforward/engine.c
@@ -240,6 +240,7 @@
 void forward_engine_set_source(struct forward_engine *engine,
 			       const struct forward_source *source)
 {
+	engine->source = *source;
 	forward_peers_set_source(engine->peers, source);
 	engine->follow = forward_follow_create(engine, source);
 }
@@ -291,6 +292,72 @@
 	http1_loop_defer(engine->loop, poke_later, engine);
 }
 
+/* ---- settings ---- */
+
+static bool same_address(const struct sockaddr_in *a,
+			 const struct sockaddr_in *b)
+{
+	return a->sin_port == b->sin_port &&
+	       a->sin_addr.s_addr == b->sin_addr.s_addr;
+}
+
+static bool same_seeds(const GArray *a, const GArray *b)
+{
+	if (a->len != b->len)
+		return false;
+	for (guint i = 0; i < a->len; i++) {
+		if (!same_address(&g_array_index(a, struct sockaddr_in, i),
+				  &g_array_index(b, struct sockaddr_in, i)))
+			return false;
+	}
+	return true;
+}
+
+static void log_fixed(const struct forward_settings *old,
+		      const struct forward_settings *new)
+{
+	const struct {
+		const char *key;
+		bool same;
+	} fixed[] = {
+		{"instance", !strcmp(old->instance, new->instance)},
+		{"zone", !strcmp(old->zone, new->zone)},
+		{"caller", same_address(&old->caller, &new->caller)},
+		{"ready", same_address(&old->ready, &new->ready)},
+		{"control", same_address(&old->control, &new->control)},
+		{"metrics", same_address(&old->metrics, &new->metrics)},
+		{"platform", same_address(&old->platform, &new->platform)},
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(fixed); i++) {
+		if (!fixed[i].same)
+			cs_log(LOG_WARNING, "setting-needs-restart", "key",
+			       fixed[i].key, NULL);
+	}
+}
+
+void forward_engine_reload(struct forward_engine *engine,
+			   const struct forward_settings *settings)
+{
+	const struct forward_settings *old = engine->settings;
+	struct route_bounds bounds = settings->bounds;
+	bool new_seeds = !same_seeds(old->seeds, settings->seeds);
+
+	log_fixed(old, settings);
+	if (engine->daemons) {
+		bounds.daemons = engine->daemons;
+		bounds.daemons_in_zone = MAX(engine->daemons_in_zone, 1);
+	}
+	route_fleet_set_bounds(engine->fleet, &bounds);
+	engine->caller_limits.connections = settings->connections;
+	if (new_seeds && engine->follow)
+		forward_follow_destroy(engine->follow);
+	engine->settings = settings;
+	if (new_seeds && engine->follow)
+		engine->follow = forward_follow_create(engine, &engine->source);
+	cs_log(LOG_NOTICE, "reload", "seeds", new_seeds ? "new" : "same", NULL);
+}
+
 /* ---- upkeep and stopping ---- */
 
 static void end_stop(struct forward_engine *engine)
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -123,6 +123,7 @@
 	TAILQ_HEAD(, forward_attempt) drained;
 	struct forward_peers *peers;
 	struct forward_follow *follow;
+	struct forward_source source;
 	guint daemons; /* up, as far as known */
 	guint daemons_in_zone;
 	struct cs_timer tick;
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -521,6 +521,35 @@
 }
 END_TEST
 
+START_TEST(changed_settings_cut_nothing)
+{
+	struct world2 world;
+	struct forward_settings changed;
+	struct net_client *client;
+	struct sockaddr_in seed = net_address(60);
+
+	world2_create(&world);
+	world2_publish(&world);
+	script(&world, 0, NULL, false);
+	client = ask(&world, "GET /once/");
+	changed = world.settings;
+	changed.bounds.budget_ratio = 0.5;
+	changed.connections = 7;
+	changed.seeds = g_array_new(FALSE, FALSE, sizeof(seed));
+	g_array_append_val(changed.seeds, seed);
+	forward_engine_reload(world.engine, &changed);
+	net_pass(&world.net, 200);
+	net_read(client);
+	ck_assert(!client->closed);
+	ck_assert_uint_eq(status_of(client), 0);
+	ck_assert_uint_eq(world.scripts[0]->open_now, 1);
+	forward_engine_reload(world.engine, &world.settings);
+	net_close(client);
+	g_array_unref(changed.seeds);
+	world2_destroy(&world);
+}
+END_TEST
+
 static guint ask_ready(struct world2 *world)
 {
 	struct sockaddr_in at = net_address(PORT_READY);
@@ -568,5 +597,5 @@
 	  parts_are_merged_and_what_is_missing_is_said,
 	  too_many_shards_without_replica_are_refused_unsent,
 	  no_route_is_said_only_by_one_that_is_current,
-	  an_older_table_is_left_aside,
+	  an_older_table_is_left_aside, changed_settings_cut_nothing,
 	  a_stop_serves_on_until_the_balancer_has_noticed)
