Hedges that find no room are tried again; lines for parts an answer goes without

Change: the next look is 8 ms later. Lines have the time, and each part that an answer goes without has its own (event=part-missing). Test: a_hedge_without_room_is_tried_again, red before.

--- a/include/cuminsail/log.h
+++ b/include/cuminsail/log.h
@@ -1,7 +1,8 @@
 /**
  * log.h - one line of key=value pairs for each event
  *
- * Lines go to standard output with a syslog priority in front, "<6>event=...".
+ * Lines go to standard output with a syslog priority in front,
+ * "<6>at=1764825600000 event=...", the time in Unix milliseconds, for people.
  * Values that hold a space, a quote, an equals sign or a control byte are
  * quoted and escaped, so that input never starts a second line.
  *
--- a/src/libforward/job.c
+++ b/src/libforward/job.c
@@ -17,8 +17,9 @@
  * 40 ms between regions and 6 ms to open, twice over. */
 #define CONNECT_US (100 * CS_US_PER_MS)
 
-/* When the budget has no hedge, the next look. */
-#define HEDGE_AGAIN_US (20 * CS_US_PER_MS)
+/* When the budget or the replicas have no room for a hedge, the next look: the
+ * time in which a connection comes about. */
+#define HEDGE_AGAIN_US (8 * CS_US_PER_MS)
 
 /* Answers that nobody waits for are read until then, to keep the connection:
  * the longest pause of a replica and its work. */
@@ -69,9 +70,55 @@
 	g_free(job);
 }
 
+/* One line for each decision about a part, with what decided it. */
+static void log_part(const struct forward_part *part, const char *event,
+		     const char *reason, const struct route_replica *replica,
+		     gint64 us)
+{
+	struct forward_engine *engine = part->job->engine;
+	gint64 now = forward_now(engine);
+	char after[FIGURE_TEXT];
+	char ms[FIGURE_TEXT];
+	char sent[FIGURE_TEXT];
+	char budget[FIGURE_TEXT];
+	char age[FIGURE_TEXT];
+
+	g_snprintf(sent, sizeof(sent), "%u/%u", part->n_sent,
+		   part->job->route->attempts_max);
+	g_snprintf(budget, sizeof(budget), "%.1f",
+		   route_pool_budget(part->pool, now));
+	cs_log(LOG_INFO, event, "id", part->job->request_id, "service",
+	       route_pool_name(part->pool), "reason", reason, "replica",
+	       replica ? replica->id : NULL, "after_ms",
+	       forward_ms(after, now - part->job->started_us), "limit_ms",
+	       forward_ms(ms, us), "sent", sent, "budget", budget,
+	       "picture_age_ms", forward_ms(age, forward_picture_age(engine)),
+	       NULL);
+}
+
+/* What an answer goes without, and where it was asked for. */
+static void log_missing(const struct forward_job *job)
+{
+	gint64 now = forward_now(job->engine);
+
+	for (guint i = 0; i < job->n_parts; i++) {
+		const struct forward_part *part = &job->parts[i];
+		const struct forward_attempt *first =
+			TAILQ_FIRST(&part->attempts);
+
+		if (part->state == PART_DONE || part->state == PART_FAILED)
+			continue;
+		log_part(part, "part-missing",
+			 first ? "no-answer-yet" : "no-room",
+			 first ? first->route.replica : NULL,
+			 first ? now - first->route.sent_us : 0);
+	}
+}
+
 static void finish(struct forward_job *job)
 {
 	job->closing = true;
+	log_missing(job);
 	forward_reply(job);
 	free_job(job, DRAIN_US);
 }
@@ -79,6 +126,7 @@
 static void refuse(struct forward_job *job, int code)
 {
 	job->closing = true;
+	log_missing(job);
 	forward_refuse(job, code);
 	free_job(job, DRAIN_US);
 }
@@ -131,32 +179,6 @@
 	       part->n_tried < ROUTE_TRIED_MAX;
 }
 
-/* One line for each decision about a part, with what decided it. */
-static void log_part(const struct forward_part *part, const char *event,
-		     const char *reason, const struct route_replica *replica,
-		     gint64 us)
-{
-	struct forward_engine *engine = part->job->engine;
-	gint64 now = forward_now(engine);
-	char after[FIGURE_TEXT];
-	char ms[FIGURE_TEXT];
-	char sent[FIGURE_TEXT];
-	char budget[FIGURE_TEXT];
-	char age[FIGURE_TEXT];
-
-	g_snprintf(sent, sizeof(sent), "%u/%u", part->n_sent,
-		   part->job->route->attempts_max);
-	g_snprintf(budget, sizeof(budget), "%.1f",
-		   route_pool_budget(part->pool, now));
-	cs_log(LOG_INFO, event, "id", part->job->request_id, "service",
-	       route_pool_name(part->pool), "reason", reason, "replica",
-	       replica ? replica->id : NULL, "after_ms",
-	       forward_ms(after, now - part->job->started_us), "limit_ms",
-	       forward_ms(ms, us), "sent", sent, "budget", budget,
-	       "picture_age_ms", forward_ms(age, forward_picture_age(engine)),
-	       NULL);
-}
-
 static void fail_part(struct forward_part *part, int reason)
 {
 	log_part(part, "part-failed", cs_error_name(reason), NULL, 0);
@@ -310,8 +332,11 @@
 	    TAILQ_NEXT(TAILQ_FIRST(&part->attempts), link))
 		return;
 	replica = choose(part, &lack);
-	if (!replica)
+	if (!replica) {
+		if (lack == ROUTE_LACK_ROOM)
+			attempt->hedge_us = now + HEDGE_AGAIN_US;
 		return;
+	}
 	if (!route_pool_spend(part->pool, ROUTE_HEDGE, now)) {
 		cs_counters_add(job->engine->counters, CS_N_NO_BUDGET, 1);
 		attempt->hedge_us = now + HEDGE_AGAIN_US;
--- a/src/share/log.c
+++ b/src/share/log.c
@@ -100,8 +100,10 @@
 {
 	GString *line = g_string_new(NULL);
 
-	g_string_printf(line, "<%d>event=log-left-out of=%s lines=%u\n",
-			LOG_NOTICE, event, lines);
+	g_string_printf(line,
+			"<%d>at=%" G_GINT64_FORMAT
+			" event=log-left-out of=%s lines=%u\n",
+			LOG_NOTICE, cs_clock_wall_ms(), event, lines);
 	put(line);
 	g_string_free(line, TRUE);
 }
@@ -167,7 +169,8 @@
 	if (priority > max_priority || !has_room(priority, event))
 		return;
 	line = g_string_sized_new(256);
-	g_string_printf(line, "<%d>event=%s", priority, event);
+	g_string_printf(line, "<%d>at=%" G_GINT64_FORMAT " event=%s", priority,
+			cs_clock_wall_ms(), event);
 	va_start(args, event);
 	key = va_arg(args, const char *);
 	while (key) {
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -374,6 +374,47 @@
 }
 END_TEST
 
+/*
+ * pliega-busca scale-2, request d446b9ef1757910c: a part waited 87 ms for one
+ * replica; the other had no room in the moment in which the hedge was due.
+ */
+START_TEST(a_hedge_without_room_is_tried_again)
+{
+	struct world2 world;
+	struct net_client *client;
+	struct route_fleet *fleet;
+	struct route_replica *other;
+	struct route_replica *tried;
+	struct route_ask asked = {0};
+	enum route_lack lack;
+
+	world2_create(&world);
+	world2_publish(&world);
+	fleet = forward_engine_fleet(world.engine);
+	asked.route = route_table_find(world.table, "h", "/one/");
+	asked.work = route_fleet_work(fleet, asked.route);
+	tried = route_pool_choose(route_fleet_pool(fleet, "s0"), &asked, 0,
+				  &lack);
+	asked.tried = &tried;
+	asked.n_tried = 1;
+	other = route_pool_choose(route_fleet_pool(fleet, "s0"), &asked, 0,
+				  &lack);
+	ck_assert_str_eq(other->id, "u1");
+	script(&world, 0, NULL, false);
+	script(&world, 1, signed_answer(1, 200, "second"), false);
+	other->connections = other->n_open = 1000;
+	client = ask(&world, "GET /one/");
+	net_pass(&world.net, 60);
+	ck_assert_uint_eq(world.scripts[1]->requests, 0);
+	other->connections = other->n_open = 0;
+	net_pass(&world.net, 20);
+	net_read(client);
+	ck_assert_uint_eq(status_of(client), 200);
+	net_close(client);
+	world2_destroy(&world);
+}
+END_TEST
+
 START_TEST(work_for_a_caller_that_left_is_cut_within_half_a_second)
 {
 	struct world2 world;
@@ -593,6 +634,7 @@
 	  a_refusal_that_promises_not_run_is_true,
 	  a_silent_replica_is_hedged_or_waited_for,
 	  a_hedge_that_was_never_sent_goes_to_another_replica,
+	  a_hedge_without_room_is_tried_again,
 	  work_for_a_caller_that_left_is_cut_within_half_a_second,
 	  parts_are_merged_and_what_is_missing_is_said,
 	  too_many_shards_without_replica_are_refused_unsent,
