--- a/include/cuminsail/counters.h
+++ b/include/cuminsail/counters.h
@@ -123,9 +123,7 @@
 	X(CS_H_PART, "part_seconds", "result=good",                            \
 	  "time from a request to a replica to its answer")                    \
 	X(CS_H_PART_FAILED, "part_seconds", "result=failed",                   \
-	  "time from a request to a replica to its answer")                    \
-	X(CS_H_PLATFORM, "platform_read_seconds", "call=range",                \
-	  "time that a read of the platform's store took")
+	  "time from a request to a replica to its answer")
 
 enum cs_histogram {
 #define X(id, metric, label, help) id,
--- a/include/cuminsail/operator.h
+++ b/include/cuminsail/operator.h
@@ -1,7 +1,7 @@
 /**
  * operator.h - HTTP towards the operators and the balancer's health check
  *
- * Read-only. docs/OPERATORS.md lists the pages.
+ * Read-only. docs/OPERATIONS.md lists the pages.
  */
 #ifndef CUMINSAIL_OPERATOR_H
 #define CUMINSAIL_OPERATOR_H
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -293,7 +293,7 @@
         self.runs = collections.defaultdict(list)  # id to services
         self.shards = [f"shard{i}" for i in range(SHARDS)]
         self.replicas, self.proxies = [], []
-        self.stopping = False
+        self.stopping, self.servers = False, []
 
     def breach(self, rule, text):
         self.breaches.append(f"{rule}: {text}")
@@ -337,7 +337,8 @@
     async def start(self):
         self.publish()
         base = self.base
-        await asyncio.start_server(self.serve_store, "127.0.0.1", base + 6)
+        self.servers.append(await asyncio.start_server(
+            self.serve_store, "127.0.0.1", base + 6))
         self.store_proxy = Proxy(base + 5, ("127.0.0.1", base + 6))
         await self.store_proxy.start()
         port = base + 10
@@ -526,6 +527,10 @@
         self.stopping = True
         await asyncio.gather(*callers)
         await asyncio.gather(*(d.end(signal.SIGTERM) for d in self.daemons))
+        for owner in self.replicas + self.proxies + [self.store_proxy]:
+            self.servers.append(owner.server)
+        for server in self.servers:
+            server.close()
         self.check_runs()
         self.check_budget()
         self.check_recovery(healed)
--- a/test/unit/test_share.c
+++ b/test/unit/test_share.c
@@ -1,6 +1,9 @@
 /* The clock, logs, strict JSON, and the tables that the docs repeat. */
 #include "unit.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -234,10 +237,75 @@
 		ck_assert_msg(strstr(text, row) != NULL, "missing: %s", row);  \
 	}
 	CS_COUNTER_TABLE(X)
+	CS_HISTOGRAM_TABLE(X)
 #undef X
 }
 END_TEST
 
+START_TEST(histograms_count_up_to_each_bound)
+{
+	struct cs_counters *counters = cs_counters_create();
+	g_autofree char *text = NULL;
+
+	cs_counters_time(counters, CS_H_PART, 1000);
+	cs_counters_time(counters, CS_H_PART, 1001);
+	cs_counters_time(counters, CS_H_PART, 60 * CS_US_PER_S);
+	text = cs_counters_print(counters);
+	ck_assert_ptr_nonnull(strstr(
+		text, "part_seconds_bucket{result=\"good\",le=\"0.001\"} 1\n"));
+	ck_assert_ptr_nonnull(strstr(
+		text,
+		"part_seconds_bucket{result=\"good\",le=\"10.000\"} 2\n"));
+	ck_assert_ptr_nonnull(strstr(
+		text, "part_seconds_bucket{result=\"good\",le=\"+Inf\"} 3\n"));
+	ck_assert_ptr_nonnull(
+		strstr(text, "part_seconds_count{result=\"good\"} 3\n"));
+	cs_counters_destroy(counters);
+}
+END_TEST
+
+/* A reader that stands still costs lines, and is told how many. */
+START_TEST(a_log_reader_that_stands_still_holds_nothing_up)
+{
+	struct cs_clock *clock = cs_clock_create_manual(0);
+	int ends[2];
+	gsize got = 0;
+	gsize step = 1;
+	g_autoptr(GString) text = g_string_new(NULL);
+	char buffer[65536];
+
+	ck_assert_int_eq(pipe(ends), 0);
+	cs_log_set_level(LOG_INFO);
+	cs_log_start(ends[1], clock);
+	for (int second = 0; second < 40; second++) {
+		for (int i = 0; i < 300; i++)
+			cs_log(LOG_INFO, "test-event", "text",
+			       "0123456789012345678901234567890123456789",
+			       NULL);
+		cs_clock_advance(clock, CS_US_PER_S);
+	}
+	fcntl(ends[0], F_SETFL, O_NONBLOCK);
+	for (; step && got < 1000000; got += step) {
+		ssize_t n = read(ends[0], buffer, sizeof(buffer));
+
+		step = n > 0 ? (gsize)n : 0;
+		g_string_append_len(text, buffer, (gssize)step);
+		cs_log_flush();
+	}
+	cs_log(LOG_INFO, "test-event", NULL);
+	g_string_append_len(text, buffer, MAX(read(ends[0], buffer, 4096), 0));
+	ck_assert_ptr_nonnull(strstr(text->str,
+				     "event=log-left-out of=test-event "
+				     "lines=200"));
+	ck_assert_ptr_nonnull(strstr(text->str, "of=all lines="));
+	cs_log_set_level(LOG_EMERG);
+	cs_log_start(STDOUT_FILENO, NULL);
+	close(ends[0]);
+	close(ends[1]);
+	cs_clock_destroy(clock);
+}
+END_TEST
+
 START_TEST(counters_print_one_row_for_each_reason)
 {
 	struct cs_counters *counters = cs_counters_create();
@@ -273,5 +341,7 @@
 UNIT_MAIN("share", timers_fire_in_order_of_time,
 	  a_log_value_never_starts_a_line, json_from_outside_is_read_strictly,
 	  objects_are_read_through_tables, docs_repeat_the_error_table,
-	  docs_repeat_the_counters, counters_print_one_row_for_each_reason,
+	  docs_repeat_the_counters, histograms_count_up_to_each_bound,
+	  a_log_reader_that_stands_still_holds_nothing_up,
+	  counters_print_one_row_for_each_reason,
 	  every_code_has_a_name_a_text_and_a_status)
