--- a/test/unit/test_http1.c
+++ b/test/unit/test_http1.c
@@ -411,6 +411,7 @@
 	struct http1_call *call;
 	guint answers;
 	guint skip; /* answers to pass over */
+	bool reusable; /* by the word of the call, during the answer */
 	int ended; /* -1, or why */
 };
 
@@ -428,6 +429,7 @@
 		return false;
 	}
 	caller->answers++;
+	caller->reusable = http1_call_idle(call);
 	return true;
 }
 
@@ -487,6 +489,9 @@
 			      i);
 		ck_assert_msg(caller.ended == cases[i].ended, "case %zu: %d", i,
 			      caller.ended);
+		/* Bytes behind an answer: no request may follow there. */
+		if (strlen(cases[i].reply) > strlen(OK_2) && !cases[i].skip)
+			ck_assert_msg(!caller.reusable, "case %zu", i);
 		if (caller.call) {
 			ck_assert_msg(http1_call_idle(caller.call) ==
 					      cases[i].idle,
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -464,6 +464,7 @@
 	page->revision = 5;
 	platform_store_offer(shop.store, page);
 	ck_assert_str_eq(shop.seen->str, "");
+	ck_assert_int_eq(platform_store_revision(shop.store), 12);
 	/* A newer whole one without "b" removes it. */
 	page->revision = 20;
 	g_ptr_array_set_size(page->items, 0);
--- a/test/unit/test_route.c
+++ b/test/unit/test_route.c
@@ -233,6 +233,7 @@
 	ck_assert_str_eq(chosen(&p), "near");
 	/* Below the 3 s for which a replica serves on after its entry. */
 	p.now += 800 * MS;
+	ck_assert_str_eq(chosen(&p), "");
 	route_fleet_expire(p.fleet, p.now);
 	ck_assert_str_eq(chosen(&p), "");
 	picture_destroy(&p);
