Lint: loops over freed lists and the turn of a split, as the analyzer can follow

Cause: clang-analyzer reports a use after free where a list's head is read again after its first entry went, and a null share in a split without shares (the decoder refuses one).

--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -152,7 +152,7 @@
 
 /**
  * route_turn - the service of the next request of a split
- * @route: a route of target ROUTE_SPLIT
+ * @route: a route of target ROUTE_SPLIT with a share at least
  *
  * Smooth weighted round robin: every run of requests keeps to the weights.
  *
--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -484,15 +484,34 @@
 	}
 }
 
+static void close_all_idle(struct forward_link *carrier)
+{
+	struct forward_connection *connection = TAILQ_FIRST(&carrier->idle);
+
+	while (connection) {
+		struct forward_connection *next = TAILQ_NEXT(connection, link);
+
+		close_idle(connection);
+		connection = next;
+	}
+}
+
 void forward_links_free(struct forward_engine *engine)
 {
-	while (!TAILQ_EMPTY(&engine->drained))
-		forward_attempt_cut(TAILQ_FIRST(&engine->drained));
-	while (!TAILQ_EMPTY(&engine->links)) {
-		struct forward_link *carrier = TAILQ_FIRST(&engine->links);
+	struct forward_attempt *attempt = TAILQ_FIRST(&engine->drained);
+	struct forward_link *carrier = TAILQ_FIRST(&engine->links);
+
+	while (attempt) {
+		struct forward_attempt *next = TAILQ_NEXT(attempt, link);
+
+		forward_attempt_cut(attempt);
+		attempt = next;
+	}
+	while (carrier) {
+		struct forward_link *next = TAILQ_NEXT(carrier, entry);
 
-		while (!TAILQ_EMPTY(&carrier->idle))
-			close_idle(TAILQ_FIRST(&carrier->idle));
+		close_all_idle(carrier);
 		free_link(carrier);
+		carrier = next;
 	}
 }
--- a/src/libroute/table.c
+++ b/src/libroute/table.c
@@ -154,17 +154,16 @@
 
 const char *route_turn(struct route *route)
 {
-	struct route_share *best = NULL;
+	struct route_share *shares =
+		(struct route_share *)(void *)route->shares->data;
+	struct route_share *best = &shares[0];
 	double total = 0;
 
 	for (guint i = 0; i < route->shares->len; i++) {
-		struct route_share *share =
-			&g_array_index(route->shares, struct route_share, i);
-
-		total += share->weight;
-		share->credit += share->weight;
-		if (!best || share->credit > best->credit)
-			best = share;
+		total += shares[i].weight;
+		shares[i].credit += shares[i].weight;
+		if (shares[i].credit > best->credit)
+			best = &shares[i];
 	}
 	best->credit -= total;
 	return best->service;
