Following: the platform is read only when the picture is old; unit tests

Change: late seeds are asked on until the own picture is 2.4 s old. Tests: following, a late seed, no seed, no picture, counts.

--- a/src/libforward/follow.c
+++ b/src/libforward/follow.c
@@ -25,9 +25,14 @@
 #define ROUND_US (1500 * CS_US_PER_MS)
 
 /* Pause after an answer that came at once, and after a failure. */
-#define AGAIN_US (100 * CS_US_PER_MS)
+#define AGAIN_US (150 * CS_US_PER_MS)
 
-/* After all seeds failed, the platform is read for at least this long. */
+/* The platform is read when no seed will do and the picture is this old. When
+ * all seeds are late it is mostly the platform that is, and a call of each
+ * daemon would not help it; a change is due in force after 3 s. */
+#define DIRECT_AGE_US (2400 * CS_US_PER_MS)
+
+/* It is then read for at least this long. */
 #define DIRECT_US (3 * CS_US_PER_S)
 
 /* All daemons may start within 300 ms: seeds get this long to be up. */
@@ -150,6 +155,15 @@
 		follow->seed = (follow->seed + 1) % follow->n_seeds;
 }
 
+static bool needs_platform(const struct forward_follow *follow)
+{
+	gint64 now = forward_now(follow->engine);
+
+	if (!follow->source.revision(follow->source.user))
+		return now - follow->started_us >= START_GRACE_US;
+	return forward_picture_age(follow->engine) >= DIRECT_AGE_US;
+}
+
 static void fail(struct forward_follow *follow, const char *reason)
 {
 	gint64 now = forward_now(follow->engine);
@@ -160,7 +174,7 @@
 	next_seed(follow);
 	follow->failures++;
 	if (!follow->is_seed && follow->failures >= follow->n_seeds &&
-	    now - follow->started_us >= START_GRACE_US) {
+	    needs_platform(follow)) {
 		set_direct(follow, true, "no-seed");
 		follow->direct_until_us = now + DIRECT_US;
 	}
--- /dev/null
+++ b/test/unit/test_follow.c
@@ -0,0 +1,287 @@
+/* Where a daemon's picture comes from, and how many daemons it counts. */
+#include "net.h"
+#include "unit.h"
+
+#include "cuminsail/forward.h"
+
+#include <string.h>
+
+static const struct forward_dialect dialect = {
+	.request_id = "Id",
+	.deadline_ms = "Wait",
+	.instance = "For",
+	.not_run = "Not-Run",
+	.signature = "Signed",
+	.part_signatures = "Parts",
+	.parts_missing = "Missing",
+	.ready_path = "/ready",
+	.wrong_instance = 421,
+};
+
+/* A source whose picture is only its revision. */
+struct daemon2 {
+	struct forward_settings settings;
+	struct forward_engine *engine;
+	gint64 revision;
+	bool direct;
+};
+
+static void read_directly(bool directly, void *user)
+{
+	((struct daemon2 *)user)->direct = directly;
+}
+
+static gint64 revision(void *user)
+{
+	return ((struct daemon2 *)user)->revision;
+}
+
+static json_t *export(gint64 after, void *user)
+{
+	struct daemon2 *daemon = user;
+
+	return daemon->revision ? json_pack("{s:I, s:I}", "revision",
+					    (json_int_t)daemon->revision,
+					    "after", (json_int_t)after)
+				: NULL;
+}
+
+static void offer(json_t *document, void *user)
+{
+	struct daemon2 *daemon = user;
+	gint64 offered =
+		json_integer_value(json_object_get(document, "revision"));
+
+	daemon->revision = MAX(daemon->revision, offered);
+}
+
+static void on_stopped(void *user)
+{
+}
+
+enum { SEEDS = 2 };
+
+static void start(struct net *net, struct daemon2 *daemon, guint number,
+		  const char *zone)
+{
+	struct forward_source source = {read_directly, revision, export, offer,
+					daemon};
+	struct forward_settings *settings = &daemon->settings;
+
+	memset(daemon, 0, sizeof(*daemon));
+	settings->instance = (char *)"d";
+	settings->zone = (char *)zone;
+	settings->regions = g_hash_table_new(g_str_hash, g_str_equal);
+	g_hash_table_insert(settings->regions, "a", "east");
+	g_hash_table_insert(settings->regions, "b", "west");
+	settings->caller = net_address(70 + number * 4);
+	settings->ready = net_address(71 + number * 4);
+	settings->control = net_address(72 + number * 4);
+	settings->metrics = net_address(73 + number * 4);
+	settings->connections = 10;
+	settings->bounds.daemons = 10;
+	settings->bounds.daemons_in_zone = 4;
+	settings->seeds = g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
+	for (guint i = 0; i < SEEDS; i++) {
+		struct sockaddr_in at = net_address(72 + i * 4);
+
+		g_array_append_val(settings->seeds, at);
+	}
+	daemon->engine = forward_engine_create(net->loop, settings, &dialect,
+					       on_stopped, daemon);
+	ck_assert_ptr_nonnull(daemon->engine);
+	forward_engine_set_source(daemon->engine, &source);
+}
+
+static void end(struct daemon2 *daemon)
+{
+	forward_engine_destroy(daemon->engine);
+	g_hash_table_unref(daemon->settings.regions);
+	g_array_unref(daemon->settings.seeds);
+}
+
+/* The seeds' own watch of the platform: revision and time of the last answer.
+ */
+static void confirm(struct net *net, struct daemon2 *seed, gint64 to)
+{
+	if (to > seed->revision) {
+		seed->revision = to;
+		forward_engine_changed(seed->engine);
+	}
+	forward_engine_confirm(seed->engine, cs_clock_now(net->clock));
+}
+
+START_TEST(a_daemon_follows_the_seeds_and_leaves_the_platform_alone)
+{
+	struct net net = net_create();
+	struct daemon2 seeds[SEEDS];
+	struct daemon2 follower;
+
+	start(&net, &seeds[0], 0, "a");
+	start(&net, &seeds[1], 1, "b");
+	confirm(&net, &seeds[0], 5);
+	confirm(&net, &seeds[1], 5);
+	start(&net, &follower, 2, "a");
+	net_pass(&net, 300);
+	ck_assert(seeds[0].direct && seeds[1].direct);
+	ck_assert(!follower.direct);
+	ck_assert_int_eq(follower.revision, 5);
+	/* A change reaches it at once, by whichever seed it follows. */
+	confirm(&net, &seeds[0], 6);
+	confirm(&net, &seeds[1], 6);
+	net_settle(&net);
+	ck_assert_int_eq(follower.revision, 6);
+	for (guint i = 0; i < SEEDS; i++)
+		end(&seeds[i]);
+	end(&follower);
+	net_destroy(&net);
+}
+END_TEST
+
+START_TEST(a_late_seed_is_left_for_one_that_is_current)
+{
+	struct net net = net_create();
+	struct daemon2 seeds[SEEDS];
+	struct daemon2 follower;
+
+	start(&net, &seeds[0], 0, "a");
+	start(&net, &seeds[1], 1, "b");
+	confirm(&net, &seeds[0], 5);
+	confirm(&net, &seeds[1], 5);
+	start(&net, &follower, 2, "a");
+	/* One seed is cut off from the platform; the other goes on. */
+	for (int i = 0; i < 40; i++) {
+		net_pass(&net, 100);
+		confirm(&net, &seeds[1], 5 + i / 20);
+	}
+	ck_assert(!follower.direct);
+	ck_assert_int_eq(follower.revision, 6);
+	/* The seed that is cut off follows the other one. */
+	ck_assert_int_eq(seeds[0].revision, 6);
+	for (guint i = 0; i < SEEDS; i++)
+		end(&seeds[i]);
+	end(&follower);
+	net_destroy(&net);
+}
+END_TEST
+
+START_TEST(without_a_seed_the_platform_is_read_in_time)
+{
+	static const struct {
+		bool up; /* the seeds run, and are late */
+		gint64 ms; /* since the last news */
+		bool direct;
+	} cases[] = {
+		{true, 2200, false},
+		/* A change is due after 3 s. */
+		{true, 2900, true},
+		{false, 2900, true},
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct net net = net_create();
+		struct daemon2 seeds[SEEDS];
+		struct daemon2 follower;
+
+		start(&net, &seeds[0], 0, "a");
+		start(&net, &seeds[1], 1, "b");
+		start(&net, &follower, 2, "a");
+		confirm(&net, &seeds[0], 5);
+		confirm(&net, &seeds[1], 5);
+		net_pass(&net, 200);
+		ck_assert_int_eq(follower.revision, 5);
+		for (guint k = 0; k < SEEDS && !cases[i].up; k++)
+			end(&seeds[k]);
+		net_pass(&net, cases[i].ms - 200);
+		ck_assert_msg(follower.direct == cases[i].direct, "case %zu",
+			      i);
+		for (guint k = 0; k < SEEDS && cases[i].up; k++)
+			end(&seeds[k]);
+		end(&follower);
+		net_destroy(&net);
+	}
+}
+END_TEST
+
+START_TEST(a_daemon_without_any_picture_soon_reads_the_platform)
+{
+	struct net net = net_create();
+	struct daemon2 follower;
+
+	start(&net, &follower, 2, "a");
+	net_pass(&net, 300);
+	ck_assert(!follower.direct);
+	net_pass(&net, 400);
+	ck_assert(follower.direct);
+	end(&follower);
+	net_destroy(&net);
+}
+END_TEST
+
+/* The counts as the daemon itself has them, by its shares of connections. */
+static guint share_of(struct daemon2 *daemon, const char *zone)
+{
+	struct route_fleet *fleet = forward_engine_fleet(daemon->engine);
+	struct route_table *table = route_table_create(1);
+	struct route *route = route_create(ROUTE_SERVICE);
+	struct route_ask asked = {0};
+	struct route_entry entry = {.id = "u",
+				    .service = "s",
+				    .zone = zone,
+				    .address = net_address(99),
+				    .slots = 1};
+	enum route_lack lack;
+	guint share;
+
+	route->name = g_strdup("r");
+	route->host = g_strdup("h");
+	route->prefix = g_strdup("/");
+	route_table_add(table, route);
+	route_table_add_service(table, "s", 1200, 0);
+	route_table_seal(table);
+	route_fleet_set_table(fleet, table);
+	route_fleet_put(fleet, &entry, 0);
+	asked.route = route;
+	asked.work = route_fleet_work(fleet, route);
+	share = route_replica_connections(route_pool_choose(
+		route_fleet_pool(fleet, "s"), &asked, 0, &lack));
+	route_table_unref(table);
+	return share;
+}
+
+/*
+ * putul-search scale-1: sums of the seeds counted a daemon that changed its
+ * seed twice, and the shares starved.
+ */
+START_TEST(each_daemon_counts_once_whatever_seed_it_calls)
+{
+	struct net net = net_create();
+	struct daemon2 seeds[SEEDS];
+	struct daemon2 followers[4];
+
+	start(&net, &seeds[0], 0, "a");
+	start(&net, &seeds[1], 1, "b");
+	for (guint i = 0; i < 4; i++)
+		start(&net, &followers[i], 2 + i, i < 3 ? "a" : "b");
+	for (int i = 0; i < 60; i++) {
+		/* Both seeds are late by turns, so that followers change. */
+		if (i % 20 < 10)
+			confirm(&net, &seeds[i / 20 % 2], 5);
+		net_pass(&net, 100);
+	}
+	/* Six daemons, four of them in zone a: 1200 x 0.55 / 4 each. */
+	ck_assert_uint_eq(share_of(&followers[0], "a"), 165);
+	ck_assert_uint_eq(share_of(&followers[3], "b"), 330);
+	for (guint i = 0; i < SEEDS; i++)
+		end(&seeds[i]);
+	for (guint i = 0; i < 4; i++)
+		end(&followers[i]);
+	net_destroy(&net);
+}
+END_TEST
+
+UNIT_MAIN("follow", a_daemon_follows_the_seeds_and_leaves_the_platform_alone,
+	  a_late_seed_is_left_for_one_that_is_current,
+	  without_a_seed_the_platform_is_read_in_time,
+	  a_daemon_without_any_picture_soon_reads_the_platform,
+	  each_daemon_counts_once_whatever_seed_it_calls)
