--- a/src/libforward/peers.c
+++ b/src/libforward/peers.c
@@ -23,6 +23,9 @@
  * after the other, each 1.5 to 2.5 s. */
 #define WORD_US (7 * CS_US_PER_S)
 
+/* The counts are made anew after this time: shares may lag a little. */
+#define COUNT_US (200 * CS_US_PER_MS)
+
 /* Longest wait of a call; the caller finds a silent seed by it. */
 #define HOLD_MAX_US (1 * CS_US_PER_S)
 
@@ -49,6 +52,14 @@
 	GHashTable *heard; /* control address to struct heard */
 	TAILQ_HEAD(, held) held;
 	struct forward_source source;
+	/* Most callers ask after the same revision: its text is made once. */
+	gint64 text_after;
+	gint64 text_revision;
+	char *text;
+	/* How many daemons each zone has, counted once in a while. */
+	GHashTable *counts;
+	guint total;
+	gint64 counted_us;
 };
 
 static void free_heard(void *data)
@@ -118,10 +129,9 @@
 		add_member(members, GPOINTER_TO_UINT(hash), zone);
 }
 
-static void count_heard(struct forward_peers *peers, const char *zone,
-			guint *all, guint *in_zone)
+static GHashTable *all_members(struct forward_peers *peers)
 {
-	g_autoptr(GHashTable) members = own_members(peers);
+	GHashTable *members = own_members(peers);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -132,11 +142,33 @@
 		if (heard->callers)
 			add_all(members, heard->callers);
 	}
-	*all = g_hash_table_size(members);
-	*in_zone = 0;
+	return members;
+}
+
+static void count(struct forward_peers *peers)
+{
+	g_autoptr(GHashTable) members = all_members(peers);
+	GHashTableIter iter;
+	gpointer zone;
+
+	g_hash_table_remove_all(peers->counts);
+	peers->total = g_hash_table_size(members);
 	g_hash_table_iter_init(&iter, members);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		*in_zone += !strcmp(value, zone);
+	while (g_hash_table_iter_next(&iter, NULL, &zone)) {
+		guint n = GPOINTER_TO_UINT(
+			g_hash_table_lookup(peers->counts, zone));
+
+		g_hash_table_replace(peers->counts, g_strdup(zone),
+				     GUINT_TO_POINTER(n + 1));
+	}
+	peers->counted_us = forward_now(peers->engine);
+}
+
+static guint count_zone(struct forward_peers *peers, const char *zone)
+{
+	if (forward_now(peers->engine) - peers->counted_us >= COUNT_US)
+		count(peers);
+	return GPOINTER_TO_UINT(g_hash_table_lookup(peers->counts, zone));
 }
 
 void forward_peers_print_members(struct forward_peers *peers, GString *query)
@@ -198,32 +230,50 @@
 
 /* ---- answers ---- */
 
+/* Return: the changes after a revision as text, or NULL; owned by @peers. */
+static const char *picture_text(struct forward_peers *peers, gint64 after)
+{
+	const struct forward_source *source = &peers->source;
+	gint64 revision = source->revision ? source->revision(source->user) : 0;
+	json_t *picture;
+
+	if (peers->text && peers->text_after == after &&
+	    peers->text_revision == revision)
+		return peers->text;
+	g_clear_pointer(&peers->text, g_free);
+	picture = source->export ? source->export(after, source->user) : NULL;
+	if (!picture)
+		return NULL;
+	peers->text = cs_json_print(picture);
+	peers->text_after = after;
+	peers->text_revision = revision;
+	json_decref(picture);
+	return peers->text;
+}
+
 static void answer(struct forward_peers *peers, struct http1_exchange *exchange,
 		   const char *zone, gint64 after)
 {
-	json_t *picture =
-		peers->source.export
-			? peers->source.export(after, peers->source.user)
-			: NULL;
+	const char *picture = picture_text(peers, after);
+	guint in_zone = count_zone(peers, zone);
+	GString *body =
+		g_string_sized_new(picture ? strlen(picture) + 128 : 128);
 	struct http1_reply reply = {.status = 200};
-	json_t *document;
-	char *text;
-	guint all;
-	guint in_zone;
-
-	count_heard(peers, zone, &all, &in_zone);
-	document = json_pack("{s:I, s:I, s:I}", "daemons", (json_int_t)all,
-			     "daemons_in_zone", (json_int_t)in_zone, "age_ms",
-			     (json_int_t)(forward_picture_age(peers->engine) /
-					  CS_US_PER_MS));
-	if (picture)
-		json_object_set_new(document, "picture", picture);
-	text = cs_json_print(document);
-	json_decref(document);
-	reply.body = text;
-	reply.length = strlen(text);
+
+	g_string_printf(body,
+			"{\"daemons\": %u, \"daemons_in_zone\": %u, "
+			"\"age_ms\": %" G_GINT64_FORMAT,
+			peers->total, in_zone,
+			forward_picture_age(peers->engine) / CS_US_PER_MS);
+	if (picture) {
+		g_string_append(body, ", \"picture\": ");
+		g_string_append(body, picture);
+	}
+	g_string_append_c(body, '}');
+	reply.body = body->str;
+	reply.length = body->len;
 	http1_exchange_reply(exchange, &reply);
-	g_free(text);
+	g_string_free(body, TRUE);
 }
 
 static void free_held(struct held *held)
@@ -335,6 +385,8 @@
 	peers->engine = engine;
 	peers->heard = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     free_heard);
+	peers->counts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	TAILQ_INIT(&peers->held);
 	if (engine->settings->control.sin_port)
 		peers->server = http1_server_create(
@@ -355,5 +407,7 @@
 		return;
 	http1_server_destroy(peers->server);
 	g_hash_table_unref(peers->heard);
+	g_hash_table_unref(peers->counts);
+	g_free(peers->text);
 	g_free(peers);
 }
