The nearest seed is followed

Change: a daemon connects to all seeds at once and follows the one that is there first; a nearer one that was left is tried again after 5 s.

--- a/src/libforward/follow.c
+++ b/src/libforward/follow.c
@@ -38,6 +38,13 @@
 /* All daemons may start within 300 ms: seeds get this long to be up. */
 #define START_GRACE_US (350 * CS_US_PER_MS)
 
+/* The first call goes to the seed that connects first, at most so much later.
+ */
+#define PROBE_US (60 * CS_US_PER_MS)
+
+/* A nearer seed that was left is tried again after this time. */
+#define HOME_AGAIN_US (5 * CS_US_PER_S)
+
 /* A count is believed for this long. */
 #define COUNT_US (7 * CS_US_PER_S)
 
@@ -46,6 +53,15 @@
 	guint all;
 	guint in_zone;
 	gint64 at_us; /* 0: nothing yet */
+	gint64 round_trip_us; /* of a connection to it; 0: not known */
+};
+
+/* A connection that only shows how far a seed is. */
+struct probe {
+	struct forward_follow *follow;
+	struct http1_call *call;
+	gint64 begun_us;
+	guint seed;
 };
 
 struct forward_follow {
@@ -55,6 +71,8 @@
 	struct http1_call *call;
 	struct cs_timer timer; /* the next call, or the end of this one */
 	struct seed_word *words; /* one for each seed */
+	struct probe *probes; /* one for each seed */
+	gint64 left_us; /* when a seed was last left */
 	guint n_seeds;
 	guint seed; /* whom the call goes to */
 	guint failures; /* seeds in a row that would not do */
@@ -63,6 +81,7 @@
 	bool is_seed;
 	bool direct; /* the platform is read */
 	bool calling;
+	bool words_heard; /* some seed has answered */
 };
 
 #define follow_of(pointer)                                                     \
@@ -155,6 +174,25 @@
 		follow->seed = (follow->seed + 1) % follow->n_seeds;
 }
 
+/* What a seed says goes to many daemons: the nearest one is followed, as far as
+ * it will do. */
+static void go_home(struct forward_follow *follow)
+{
+	guint nearest = follow->seed;
+
+	for (guint i = 0; i < follow->n_seeds; i++) {
+		gint64 known = follow->words[i].round_trip_us;
+
+		if (known && known < follow->words[nearest].round_trip_us)
+			nearest = i;
+	}
+	if (nearest == follow->seed)
+		return;
+	hang_up(follow);
+	follow->seed = nearest;
+	follow->left_us = forward_now(follow->engine);
+}
+
 static bool needs_platform(const struct forward_follow *follow)
 {
 	gint64 now = forward_now(follow->engine);
@@ -172,6 +210,7 @@
 	cs_endpoint_print(seed_at(follow, follow->seed), at);
 	cs_log(LOG_INFO, "seed-left", "seed", at, "reason", reason, NULL);
 	next_seed(follow);
+	follow->left_us = now;
 	follow->failures++;
 	if (!follow->is_seed && follow->failures >= follow->n_seeds &&
 	    needs_platform(follow)) {
@@ -213,6 +252,7 @@
 	word->all = (guint)all;
 	word->in_zone = (guint)in_zone;
 	word->at_us = forward_now(follow->engine);
+	follow->words_heard = true;
 	set_counts(follow);
 	return true;
 }
@@ -231,6 +271,8 @@
 		follow->failures = 0;
 		if (now >= follow->direct_until_us)
 			set_direct(follow, false, "seed-current");
+		if (now - follow->left_us >= HOME_AGAIN_US)
+			go_home(follow);
 		wait_for(follow, follow->direct ? ROUND_US : 0);
 	}
 }
@@ -335,6 +377,59 @@
 	}
 }
 
+/* ---- probes ---- */
+
+static void end_probe(struct probe *probe)
+{
+	if (probe->call)
+		http1_call_close(probe->call);
+	probe->call = NULL;
+}
+
+static void on_probe_connected(struct http1_call *call, void *user)
+{
+	struct probe *probe = user;
+	struct forward_follow *follow = probe->follow;
+	gint64 spent = forward_now(follow->engine) - probe->begun_us;
+
+	follow->words[probe->seed].round_trip_us = MAX(spent, 1);
+	end_probe(probe);
+	if (follow->is_seed || follow->calling || follow->words_heard)
+		return;
+	follow->seed = probe->seed;
+	begin_call(follow);
+}
+
+static bool on_probe_answer(struct http1_call *call,
+			    const struct http1_message *answer, void *user)
+{
+	return false;
+}
+
+static void on_probe_ended(struct http1_call *call, enum http1_failure why,
+			   void *user)
+{
+	((struct probe *)user)->call = NULL;
+}
+
+static void begin_probes(struct forward_follow *follow)
+{
+	for (guint i = 0; i < follow->n_seeds; i++) {
+		struct probe *probe = &follow->probes[i];
+		struct http1_call_hooks hooks = {on_probe_connected,
+						 on_probe_answer,
+						 on_probe_ended, probe};
+
+		probe->follow = follow;
+		probe->seed = i;
+		probe->begun_us = forward_now(follow->engine);
+		if (!is_self(follow, i))
+			probe->call = http1_call_open(follow->engine->loop,
+						      seed_at(follow, i),
+						      &follow->limits, &hooks);
+	}
+}
+
 struct forward_follow *forward_follow_create(
 	struct forward_engine *engine, const struct forward_source *source)
 {
@@ -347,6 +442,7 @@
 	follow->limits.body_bytes = 16777216;
 	follow->n_seeds = engine->settings->seeds->len;
 	follow->words = g_new0(struct seed_word, MAX(follow->n_seeds, 1));
+	follow->probes = g_new0(struct probe, MAX(follow->n_seeds, 1));
 	follow->timer.fire = on_timer;
 	for (guint i = 0; i < follow->n_seeds; i++)
 		follow->is_seed = follow->is_seed || is_self(follow, i);
@@ -360,7 +456,8 @@
 	follow->seed = (guint)g_random_int_range(0, (gint)follow->n_seeds);
 	if (is_self(follow, follow->seed))
 		follow->seed = (follow->seed + 1) % follow->n_seeds;
-	wait_for(follow, 0);
+	begin_probes(follow);
+	wait_for(follow, PROBE_US);
 	return follow;
 }
 
@@ -370,6 +467,9 @@
 		return;
 	cs_timer_disarm(follow->engine->clock, &follow->timer);
 	hang_up(follow);
+	for (guint i = 0; i < follow->n_seeds; i++)
+		end_probe(&follow->probes[i]);
+	g_free(follow->probes);
 	g_free(follow->words);
 	g_free(follow);
 }
