--- a/include/cuminsail/forward.h
+++ b/include/cuminsail/forward.h
@@ -38,7 +38,7 @@
 	struct sockaddr_in platform;
 	GArray *seeds; /* struct sockaddr_in: control addresses of peers */
 	struct route_bounds bounds;
-	gint64 stop_ms; /* from SIGTERM to the kill */
+	gint64 stop_us; /* from SIGTERM to the kill */
 	guint connections; /* descriptors for callers */
 };
 
--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -253,7 +253,6 @@
 	guint daemons; /* that may be up at once, all zones */
 	guint daemons_in_zone; /* of these, in the own zone */
 	double cold_overrun; /* share of cold_per_s that may be reached */
-	double cold_slack; /* requests a second on top of it */
 };
 
 /**
--- a/src/libforward/engine.c
+++ b/src/libforward/engine.c
@@ -104,67 +104,6 @@
 	cs_log(LOG_NOTICE, "refused", "reason", cs_error_name(code), NULL);
 }
 
-/* ---- pages ---- */
-
-static bool is_ready(const struct forward_engine *engine)
-{
-	return engine->phase == FORWARD_SERVING && engine->table &&
-	       route_fleet_count(engine->fleet) > 0;
-}
-
-static void on_ready_request(struct http1_exchange *exchange,
-			     const struct http1_message *request, void *user)
-{
-	struct forward_engine *engine = user;
-	struct http1_reply reply = {.status = 404};
-
-	if (!strcmp(request->target->str, engine->dialect->ready_path))
-		reply.status = is_ready(engine) ? 200 : 503;
-	http1_exchange_reply(exchange, &reply);
-}
-
-static char *print_state(const struct forward_engine *engine,
-			 const char *counters)
-{
-	return g_strdup_printf("%s"
-			       "# TYPE cuminsail_ready gauge\n"
-			       "cuminsail_ready %d\n"
-			       "# TYPE cuminsail_table_version gauge\n"
-			       "cuminsail_table_version %" G_GINT64_FORMAT "\n"
-			       "# TYPE cuminsail_picture_age_seconds gauge\n"
-			       "cuminsail_picture_age_seconds %.3f\n"
-			       "# TYPE cuminsail_replicas_listed gauge\n"
-			       "cuminsail_replicas_listed %u\n"
-			       "# TYPE cuminsail_requests_open gauge\n"
-			       "cuminsail_requests_open %u\n",
-			       counters, is_ready(engine),
-			       engine->table ? engine->table->version : 0,
-			       (double)forward_picture_age(engine) /
-				       CS_US_PER_S,
-			       route_fleet_count(engine->fleet),
-			       http1_server_open(engine->callers));
-}
-
-static void on_metrics_request(struct http1_exchange *exchange,
-			       const struct http1_message *request, void *user)
-{
-	struct forward_engine *engine = user;
-	g_autofree char *counters = cs_counters_print(engine->counters);
-	g_autofree char *text = print_state(engine, counters);
-	struct http1_reply reply = {
-		.status = 200,
-		.lines = "Content-Type: text/plain; version=0.0.4\r\n",
-		.body = text,
-		.length = strlen(text),
-	};
-
-	http1_exchange_reply(exchange, &reply);
-}
-
-static void on_page_gone(struct http1_exchange *exchange, void *user)
-{
-}
-
 /* ---- the picture ---- */
 
 gint64 forward_now(const struct forward_engine *engine)
@@ -373,8 +312,7 @@
 static void look_at_stop(struct forward_engine *engine, gint64 now)
 {
 	gint64 spent = now - engine->stop_from_us;
-	gint64 limit =
-		engine->settings->stop_ms * CS_US_PER_MS - KILL_MARGIN_US;
+	gint64 limit = engine->settings->stop_us - KILL_MARGIN_US;
 
 	if (engine->phase != FORWARD_DRAINING)
 		return;
@@ -424,21 +362,13 @@
 
 static bool open_servers(struct forward_engine *engine)
 {
-	const struct forward_settings *settings = engine->settings;
 	struct http1_server_hooks callers = {on_request, on_gone, on_refused,
 					     engine};
-	struct http1_server_hooks ready = {on_ready_request, on_page_gone, NULL,
-					   engine};
-	struct http1_server_hooks metrics = {on_metrics_request, on_page_gone,
-					     NULL, engine};
-
-	engine->callers = http1_server_create(engine->loop, &settings->caller,
-					      &engine->caller_limits, &callers);
-	engine->ready = http1_server_create(engine->loop, &settings->ready,
-					    &engine->page_limits, &ready);
-	engine->metrics = http1_server_create(engine->loop, &settings->metrics,
-					      &engine->page_limits, &metrics);
-	return engine->callers && engine->ready && engine->metrics;
+
+	engine->callers =
+		http1_server_create(engine->loop, &engine->settings->caller,
+				    &engine->caller_limits, &callers);
+	return engine->callers && forward_pages_open(engine);
 }
 
 static void init_limits(struct forward_engine *engine)
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -156,17 +156,43 @@
 /* engine.c: a replica has room again. */
 void forward_room(struct forward_engine *engine);
 
+/* Answers that nobody waits for are read until then, to keep the connection:
+ * the longest pause of a replica and its work. */
+#define FORWARD_DRAIN_US (700 * CS_US_PER_MS)
+
+/* pages.c */
+bool forward_pages_open(struct forward_engine *engine);
+bool forward_is_ready(const struct forward_engine *engine);
+
+/* part.c */
+void forward_part_try(struct forward_part *part);
+void forward_part_answered(struct forward_part *part,
+			   struct forward_answer *answer);
+void forward_part_lost(struct forward_part *part, int reason,
+		       enum forward_fate fate);
+void forward_part_release(struct forward_part *part, gint64 drain_us);
+
+/* Hedges, moves and gives up what is due. Return: when to look again. */
+gint64 forward_part_look(struct forward_part *part, gint64 now);
+
+/* The replica for the next attempt, or NULL with the cause. */
+struct route_replica *forward_part_choose(struct forward_part *part,
+					  enum route_lack *lack);
+
+/* One line for a decision about a part, with what decided it. */
+void forward_part_log(const struct forward_part *part, const char *event,
+		      const char *reason, const struct route_replica *replica,
+		      gint64 us);
+
+/* Parts without which there is no answer. */
+guint forward_parts_needed(const struct forward_job *job);
+
 /* job.c */
 void forward_job_begin(struct forward_engine *engine,
 		       struct http1_exchange *exchange,
 		       const struct http1_message *request,
 		       struct route *route);
 void forward_job_abandon(struct forward_job *job);
-void forward_part_try(struct forward_part *part);
-void forward_part_answered(struct forward_part *part,
-			   struct forward_answer *answer);
-void forward_part_lost(struct forward_part *part, int reason,
-		       enum forward_fate fate);
 void forward_job_look(struct forward_job *job);
 
 /* link.c */
--- a/src/libforward/settings.c
+++ b/src/libforward/settings.c
@@ -7,7 +7,7 @@
 
 #include <string.h>
 
-#define MS_MAX	    600000
+#define S_MAX	    600
 #define DAEMONS_MAX 10000
 
 struct raw_settings {
@@ -22,11 +22,10 @@
 	json_t *seeds;
 	double budget_ratio;
 	double budget_slack;
-	gint64 budget_window_ms;
+	double budget_window_s;
 	double cold_overrun;
-	double cold_slack;
-	gint64 drain_ms;
-	gint64 stop_ms;
+	double drain_ms;
+	double stop_s;
 	gint64 daemons;
 	gint64 daemons_in_zone;
 	gint64 connections;
@@ -46,12 +45,11 @@
 	{"seeds", CS_FIELD_ARRAY, AT(seeds), false, 0, 0},
 	{"budget_ratio", CS_FIELD_REAL, AT(budget_ratio), false, 0, 1},
 	{"budget_slack", CS_FIELD_REAL, AT(budget_slack), false, 0, 1000000},
-	{"budget_window_ms", CS_FIELD_INT, AT(budget_window_ms), false, 100,
-	 MS_MAX},
+	{"budget_window_s", CS_FIELD_REAL, AT(budget_window_s), false, 0.1,
+	 S_MAX},
 	{"cold_overrun", CS_FIELD_REAL, AT(cold_overrun), false, 0, 100},
-	{"cold_slack", CS_FIELD_REAL, AT(cold_slack), false, 0, 1000000},
-	{"drain_ms", CS_FIELD_INT, AT(drain_ms), false, 0, MS_MAX},
-	{"stop_ms", CS_FIELD_INT, AT(stop_ms), false, 1, MS_MAX},
+	{"drain_ms", CS_FIELD_REAL, AT(drain_ms), false, 0, S_MAX * 1000.0},
+	{"stop_s", CS_FIELD_REAL, AT(stop_s), false, 0.001, S_MAX},
 	{"daemons", CS_FIELD_INT, AT(daemons), false, 1, DAEMONS_MAX},
 	{"daemons_in_zone", CS_FIELD_INT, AT(daemons_in_zone), false, 1,
 	 DAEMONS_MAX},
@@ -61,10 +59,10 @@
 static const struct raw_settings defaults = {
 	.budget_ratio = 0.1,
 	.budget_slack = 10,
-	.budget_window_ms = 10000,
+	.budget_window_s = 10,
 	.cold_overrun = 1,
 	.drain_ms = 3000,
-	.stop_ms = 6000,
+	.stop_s = 6,
 	.daemons = 10,
 	.daemons_in_zone = 4,
 	.connections = 1024,
@@ -150,16 +148,16 @@
 {
 	out->instance = g_strdup(raw->instance);
 	out->zone = g_strdup(raw->zone);
-	out->stop_ms = raw->stop_ms;
+	out->stop_us = (gint64)(raw->stop_s * CS_US_PER_S);
 	out->connections = (guint)raw->connections;
 	out->bounds.budget_ratio = raw->budget_ratio;
 	out->bounds.budget_slack = raw->budget_slack;
-	out->bounds.budget_window_us = raw->budget_window_ms * CS_US_PER_MS;
-	out->bounds.drain_us = raw->drain_ms * CS_US_PER_MS;
+	out->bounds.budget_window_us =
+		(gint64)(raw->budget_window_s * CS_US_PER_S);
+	out->bounds.drain_us = (gint64)(raw->drain_ms * CS_US_PER_MS);
 	out->bounds.daemons = (guint)raw->daemons;
 	out->bounds.daemons_in_zone = (guint)raw->daemons_in_zone;
 	out->bounds.cold_overrun = raw->cold_overrun;
-	out->bounds.cold_slack = raw->cold_slack;
 }
 
 static void free_raw(struct raw_settings *raw)
--- a/src/libroute/fleet.c
+++ b/src/libroute/fleet.c
@@ -7,6 +7,12 @@
  * store's return; the rest is for the notice to travel. */
 #define LAPSE_HOLD_US (2200 * CS_US_PER_MS)
 
+/* Below the time for which a replica serves on without an entry. */
+static gint64 lapse_hold(const struct route_fleet *fleet)
+{
+	return MIN(LAPSE_HOLD_US, fleet->bounds.drain_us * 3 / 4);
+}
+
 static void free_pool(void *data)
 {
 	struct route_pool *pool = data;
@@ -218,7 +224,7 @@
 		struct route_replica *replica = value;
 
 		if (!replica->lapsed_us ||
-		    now_us - replica->lapsed_us < LAPSE_HOLD_US)
+		    now_us - replica->lapsed_us < lapse_hold(fleet))
 			continue;
 		g_hash_table_iter_remove(&iter);
 		detach(fleet, replica);
@@ -284,7 +290,7 @@
 	    replica->misplaced)
 		return false;
 	return !replica->lapsed_us ||
-	       now_us - replica->lapsed_us < LAPSE_HOLD_US;
+	       now_us - replica->lapsed_us < lapse_hold(replica->pool->fleet);
 }
 
 const char *route_pool_name(const struct route_pool *pool)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -249,7 +249,7 @@
                 "platform": f"127.0.0.1:{base + 5}",
                 "seeds": [f"127.0.0.{10 + i}:{base + 2}" for i in range(2)],
                 "budget_ratio": RATIO, "budget_slack": SLACK,
-                "budget_window_ms": WINDOW_S * 1000}, out)
+                "budget_window_s": WINDOW_S}, out)
 
     async def start(self):
         self.meant_to_end = False
--- a/test/unit/net.c
+++ b/test/unit/net.c
@@ -8,6 +8,18 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+const struct forward_dialect net_dialect = {
+	.request_id = "Id",
+	.deadline_ms = "Wait",
+	.instance = "For",
+	.not_run = "Not-Run",
+	.signature = "Signed",
+	.part_signatures = "Parts",
+	.parts_missing = "Missing",
+	.ready_path = "/ready",
+	.wrong_instance = 421,
+};
+
 /* Turns without an event after which all is quiet. */
 #define QUIET_TURNS 8
 
--- a/test/unit/net.h
+++ b/test/unit/net.h
@@ -3,8 +3,12 @@
 #define NET_H
 
 #include "cuminsail/cuminsail.h"
+#include "cuminsail/forward.h"
 #include "cuminsail/http1.h"
 
+/* Names on the wire that no platform has. */
+extern const struct forward_dialect net_dialect;
+
 struct net {
 	struct cs_clock *clock;
 	struct http1_loop *loop;
--- a/test/unit/test_follow.c
+++ b/test/unit/test_follow.c
@@ -6,18 +6,6 @@
 
 #include <string.h>
 
-static const struct forward_dialect dialect = {
-	.request_id = "Id",
-	.deadline_ms = "Wait",
-	.instance = "For",
-	.not_run = "Not-Run",
-	.signature = "Signed",
-	.part_signatures = "Parts",
-	.parts_missing = "Missing",
-	.ready_path = "/ready",
-	.wrong_instance = 421,
-};
-
 /* A source whose picture is only its revision. */
 struct daemon2 {
 	struct forward_settings settings;
@@ -87,8 +75,8 @@
 
 		g_array_append_val(settings->seeds, at);
 	}
-	daemon->engine = forward_engine_create(net->loop, settings, &dialect,
-					       on_stopped, daemon);
+	daemon->engine = forward_engine_create(
+		net->loop, settings, &net_dialect, on_stopped, daemon);
 	ck_assert_ptr_nonnull(daemon->engine);
 	forward_engine_set_source(daemon->engine, &source);
 }
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -7,18 +7,6 @@
 
 #include <string.h>
 
-static const struct forward_dialect dialect = {
-	.request_id = "Id",
-	.deadline_ms = "Wait",
-	.instance = "For",
-	.not_run = "Not-Run",
-	.signature = "Signed",
-	.part_signatures = "Parts",
-	.parts_missing = "Missing",
-	.ready_path = "/ready",
-	.wrong_instance = 421,
-};
-
 #define REPLICAS_MAX 6
 
 enum { PORT_CALLER = 10, PORT_READY, PORT_METRICS, PORT_REPLICA = 20 };
@@ -127,10 +115,10 @@
 		.daemons = 2,
 		.daemons_in_zone = 1,
 	};
-	world->settings.stop_ms = 6000;
+	world->settings.stop_us = 6 * CS_US_PER_S;
 	world->settings.connections = 100;
 	world->engine = forward_engine_create(world->net.loop, &world->settings,
-					      &dialect, on_stopped, world);
+					      &net_dialect, on_stopped, world);
 	ck_assert_ptr_nonnull(world->engine);
 }
 
@@ -562,6 +550,54 @@
 }
 END_TEST
 
+/* The platform's figures may be fractions, and some may be missing. */
+START_TEST(settings_are_checked_with_their_place)
+{
+	static const char good[] =
+		"{\"instance\":\"d\",\"zone\":\"a\","
+		"\"zones\":{\"a\":\"east\"},\"caller\":\"10.0.0.1:1\","
+		"\"ready\":\"10.0.0.1:2\",\"metrics\":\"10.0.0.1:3\","
+		"\"platform\":\"10.0.0.2:4\",\"stop_s\":6.5,"
+		"\"drain_ms\":2500.5,\"seeds\":[\"10.0.0.1:5\"]}";
+	static const struct {
+		const char *from;
+		const char *to;
+		const char *why;
+	} cases[] = {
+		{"10.0.0.1:1", "host:1", "settings.caller"},
+		{"10.0.0.1:2", "10.0.0.1", "settings.ready"},
+		{"\"a\":\"east\"", "\"b\":\"east\"", "settings.zones"},
+		{"\"east\"", "7", "settings.zones.a"},
+		{"[\"10.0.0.1:5\"]", "[5]", "settings.seeds"},
+		{"6.5", "\"6\"", "settings.stop_s"},
+		{"6.5", "-1", "settings.stop_s"},
+		{"\"stop_s\"", "\"stopp_s\"", "stopp_s"},
+		{"\"zone\":\"a\",", "", "settings.zone"},
+	};
+	g_autofree char *none = NULL;
+	int error = 0;
+	struct forward_settings *settings =
+		forward_settings_create(good, &error, &none);
+
+	ck_assert_ptr_nonnull(settings);
+	ck_assert_int_eq(settings->stop_us, 6500 * MS);
+	ck_assert_int_eq(settings->bounds.drain_us, 2500500);
+	ck_assert_uint_eq(settings->seeds->len, 1);
+	forward_settings_destroy(settings);
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *at = strstr(good, cases[i].from);
+		g_autofree char *text = g_strdup_printf(
+			"%.*s%s%s", (int)(at - good), good, cases[i].to,
+			at + strlen(cases[i].from));
+		g_autofree char *why = NULL;
+
+		ck_assert_ptr_null(forward_settings_create(text, &error, &why));
+		ck_assert_msg(why && strstr(why, cases[i].why), "case %zu: %s",
+			      i, why);
+	}
+}
+END_TEST
+
 START_TEST(changed_settings_cut_nothing)
 {
 	struct world2 world;
@@ -639,5 +675,6 @@
 	  parts_are_merged_and_what_is_missing_is_said,
 	  too_many_shards_without_replica_are_refused_unsent,
 	  no_route_is_said_only_by_one_that_is_current,
-	  an_older_table_is_left_aside, changed_settings_cut_nothing,
+	  an_older_table_is_left_aside, settings_are_checked_with_their_place,
+	  changed_settings_cut_nothing,
 	  a_stop_serves_on_until_the_balancer_has_noticed)
--- a/test/unit/test_route.c
+++ b/test/unit/test_route.c
@@ -105,6 +105,7 @@
 		.daemons = 10,
 		.daemons_in_zone = 4,
 		.cold_overrun = 1.5,
+		.drain_us = 3 * CS_US_PER_S,
 	};
 
 	p.regions = g_hash_table_new(g_str_hash, g_str_equal);
