--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -495,6 +495,37 @@
 }
 END_TEST
 
+START_TEST(removals_are_remembered_up_to_a_bound)
+{
+	struct shop shop;
+	struct platform_page *page;
+	g_autoptr(GString) events = g_string_new("200 {\"events\":[");
+	const int n = 5000;
+
+	shop_open(&shop);
+	queue(&shop, RANGE(ITEM("a", 3), 10, "false"));
+	for (int i = 0; i < n; i++)
+		g_string_append_printf(events,
+				       "%s{\"key\":\"k%d\",\"tombstone\":true,"
+				       "\"revision\":%d}",
+				       i ? "," : "", i, 11 + i);
+	g_string_append_printf(events, "],\"storeRevision\":%d}", 11 + n);
+	queue(&shop, events->str);
+	platform_store_read(shop.store, true);
+	net_settle(&shop.net);
+	/* One that follows from before is given everything. */
+	page = page_of(platform_store_export(shop.store, 10));
+	ck_assert(page->whole);
+	ck_assert_uint_eq(page->items->len, 1);
+	platform_page_destroy(page);
+	page = page_of(platform_store_export(shop.store, 11 + n));
+	ck_assert(!page->whole);
+	ck_assert_uint_eq(page->items->len, 0);
+	platform_page_destroy(page);
+	shop_close(&shop);
+}
+END_TEST
+
 UNIT_MAIN("platform", a_configuration_is_decoded_into_routes,
 	  a_bad_configuration_is_refused_with_its_place,
 	  an_entry_of_another_writer_names_no_replica,
@@ -504,4 +535,5 @@
 	  a_forgotten_history_is_read_anew_and_what_lacks_is_gone,
 	  a_store_that_fails_is_asked_again,
 	  a_silent_watch_is_left_within_the_time_of_a_change,
-	  a_peer_gets_what_is_new_and_takes_no_older_picture)
+	  a_peer_gets_what_is_new_and_takes_no_older_picture,
+	  removals_are_remembered_up_to_a_bound)
