--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -7,7 +7,7 @@
 start() {
 	_name=$1
 	shift
-	"$@" >"$WORK/$_name.out" 2>"$WORK/$_name.log" &
+	"$@" >"$WORK/$_name.log" 2>&1 &
 	eval "PID_$(echo "$_name" | tr -c 'a-zA-Z0-9\n' _)=$!"
 	PIDS="$PIDS $!"
 }
