Attempts given up while overdue count as slow answers

Cause: an attempt that nobody waits for any more is cut after 700 ms and said nothing of its replica, so a replica that hangs was asked first by each new query as soon as its old attempts were cut. Ruled out: the estimate of slow answers that do arrive, which the test of a slow replica covers.

Test: a_replica_that_never_answers_is_left, red before.

It stays: a hung replica is left after some attempts, and what daemons report to each other needs it.

--- a/src/libroute/choose.c
+++ b/src/libroute/choose.c
@@ -8,11 +8,6 @@
  * since the second is the last one that most routes allow. */
 #define FAILURE_COST_US 300000
 
-/* An attempt this many times over its estimate, and this much in all, shows
- * that its replica stands still. */
-#define OVERDUE_FACTOR 2.5
-#define OVERDUE_US     10000
-
 /* A replica takes this long to open a connection, by the sites' figures. */
 #define OPEN_US 6000
 
@@ -30,17 +25,11 @@
 /* Daemons seldom need their far connections at the same time. */
 #define FAR_OVERCOMMIT 2
 
-static bool is_overdue(const struct route_ask *ask,
-		       const struct route_replica *replica, gint64 now_us)
+static bool stands_still(const struct route_replica *replica, gint64 now_us)
 {
 	const struct route_attempt *oldest = TAILQ_FIRST(&replica->open);
 
-	if (!oldest)
-		return false;
-	return (double)(now_us - oldest->sent_us) >
-	       OVERDUE_FACTOR * route_expected_us(oldest->work, replica,
-						  now_us) +
-		       OVERDUE_US;
+	return oldest && route_is_overdue(oldest, now_us);
 }
 
 /* Replicas of a higher tier are asked only if no lower one can be. */
@@ -51,13 +40,11 @@
 	TIER_NONE,
 };
 
-static enum tier tier_of(const struct route_ask *ask,
-			 const struct route_replica *replica, gint64 now_us)
+static enum tier tier_of(const struct route_replica *replica, gint64 now_us)
 {
 	if (replica->lapsed_us)
 		return TIER_LAPSED;
-	if (now_us < replica->suspect_until_us ||
-	    is_overdue(ask, replica, now_us))
+	if (now_us < replica->suspect_until_us || stands_still(replica, now_us))
 		return TIER_STILL;
 	return TIER_SOUND;
 }
@@ -169,7 +156,7 @@
 		if (!has_connection(replica, now_us) ||
 		    !has_cold_room(pool, replica, now_us))
 			continue;
-		tier = tier_of(ask, replica, now_us);
+		tier = tier_of(replica, now_us);
 		cost = cost_us(ask, replica, now_us);
 		if (best && (tier > best_tier ||
 			     (tier == best_tier && cost >= best_cost)))
--- a/src/libroute/estimate.c
+++ b/src/libroute/estimate.c
@@ -44,6 +44,11 @@
 /* A cold replica works this much slower, by the sites' figures. */
 #define COLD_FACTOR 1.6
 
+/* An attempt this many times over its estimate, and this much in all, shows
+ * that its replica stands still. */
+#define OVERDUE_FACTOR 2.5
+#define OVERDUE_US     10000
+
 /* First pause after a connection that did not come about; doubled for each
  * further one in a row. A replica that went down is listed for 3.6 s more. */
 #define SUSPECT_US	  (800 * CS_US_PER_MS)
@@ -157,6 +162,14 @@
 	       work->us * slowness_of(replica, now_us);
 }
 
+bool route_is_overdue(const struct route_attempt *attempt, gint64 now_us)
+{
+	return (double)(now_us - attempt->sent_us) >
+	       OVERDUE_FACTOR * route_expected_us(attempt->work,
+						  attempt->replica, now_us) +
+		       OVERDUE_US;
+}
+
 double route_failure_rate(const struct route_replica *replica, gint64 now_us)
 {
 	return replica->failure_rate * say(now_us - replica->failed_us);
@@ -232,6 +245,10 @@
 		suspect(replica, now_us);
 		break;
 	case ROUTE_DROPPED:
+		/* The answer would have taken longer still. */
+		if (route_is_overdue(attempt, now_us))
+			learn_time(attempt->work, replica,
+				   (double)(now_us - attempt->sent_us), now_us);
 		break;
 	}
 }
--- a/src/libroute/fleet.h
+++ b/src/libroute/fleet.h
@@ -51,6 +51,16 @@
  */
 double route_round_trip_us(const struct route_replica *replica);
 
+/**
+ * route_is_overdue - whether an attempt is open so long that its replica must
+ * stand still
+ * @attempt: an attempt that has begun
+ * @now_us: the clock
+ *
+ * Return: true if it is.
+ */
+bool route_is_overdue(const struct route_attempt *attempt, gint64 now_us);
+
 /**
  * route_failure_rate - how often a replica fails just now
  * @replica: a replica
--- a/test/unit/test_route.c
+++ b/test/unit/test_route.c
@@ -289,6 +289,27 @@
 }
 END_TEST
 
+/* pliega-busca-grown: replicas that hang were asked first by each query, since
+ * attempts that were given up said nothing of them. */
+START_TEST(a_replica_that_never_answers_is_left)
+{
+	struct picture p = picture_create();
+
+	put(&p, "near", "a");
+	put(&p, "far", "b");
+	for (int i = 0; i < 50; i++)
+		ask_once(&p, choose(&p, NULL), ROUTE_GOOD, 16 * MS);
+	/* Given up early: says nothing. */
+	for (int i = 0; i < 10; i++)
+		ask_once(&p, choose(&p, NULL), ROUTE_DROPPED, 16 * MS);
+	ck_assert_str_eq(chosen(&p), "near");
+	for (int i = 0; i < 6 && !strcmp(chosen(&p), "near"); i++)
+		ask_once(&p, choose(&p, NULL), ROUTE_DROPPED, 700 * MS);
+	ck_assert_str_eq(chosen(&p), "far");
+	picture_destroy(&p);
+}
+END_TEST
+
 START_TEST(connections_are_shared_among_the_daemons)
 {
 	struct picture p = picture_create();
@@ -576,6 +597,7 @@
 	  a_lapsed_entry_is_a_last_choice_for_a_bounded_time,
 	  a_replica_that_stands_still_is_passed_over,
 	  a_slow_or_failing_replica_is_left_and_tried_again,
+	  a_replica_that_never_answers_is_left,
 	  connections_are_shared_among_the_daemons,
 	  a_cold_replica_gets_its_share_of_requests,
 	  no_window_has_more_extra_load_than_allowed,
