Daemons share what they see of replicas, by way of the seeds

Cause: on a large deployment a daemon asks one replica about once a second.

Change: a report of the attempts since the last call goes with the call to the seed; the seed pools the reports and says in its answer which replicas have been slow or failing for longer than a pause. Damaged reports and words are tested on loopback.

--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -198,6 +198,20 @@
 	gint64 sent_us;
 };
 
+/** Attempts at one replica, summed up. */
+struct route_tally {
+	guint answers;
+	guint failures;
+	double slowness; /* sum over the answers: 1 is usual for the work */
+};
+
+/** What is thought of a replica, and since when. */
+struct route_evidence {
+	double slowness; /* 1: usual */
+	double failure_rate; /* 0 to 1 */
+	gint64 at_us; /* 0: nothing is known */
+};
+
 /** A replica and what is known of it. Read-only outside. */
 struct route_replica {
 	TAILQ_ENTRY(route_replica) link;
@@ -226,6 +240,10 @@
 	gint64 failed_us; /* when it last moved */
 	guint failure_run;
 	gint64 suspect_until_us;
+	struct route_tally unsaid; /* since the last report */
+	struct route_evidence pooled; /* from the reports of many daemons */
+	gint64 notable_us; /* since when that is worth telling; 0: it is not */
+	struct route_evidence told; /* by a daemon that pools them */
 	double cold_tokens;
 	gint64 cold_filled_us;
 	void *owner_data; /* the owner's; set before the first use */
@@ -528,6 +546,75 @@
 void route_attempt_end(struct route_attempt *attempt, enum route_result result,
 		       gint64 now_us);
 
+/* ---- evidence shared among daemons ---- */
+
+/**
+ * route_fleet_report - what this daemon saw since its last report
+ * @fleet: a fleet
+ * @most: replicas to report; slow and failing ones come first
+ * @now_us: the clock
+ * @visit: called with each replica's id and its attempts
+ * @user: passed on
+ */
+void route_fleet_report(struct route_fleet *fleet, guint most, gint64 now_us,
+			void (*visit)(const char *id,
+				      const struct route_tally *tally,
+				      void *user),
+			void *user);
+
+/**
+ * route_fleet_pool_report - add a daemon's report to what is pooled here
+ * @fleet: a fleet
+ * @id: a replica; an unknown one is left aside
+ * @tally: its attempts
+ * @now_us: the clock
+ *
+ * The pooled figures follow the reports within a third of a second, so that a
+ * pause of a replica is over before it counts in full.
+ */
+void route_fleet_pool_report(struct route_fleet *fleet, const char *id,
+			     const struct route_tally *tally, gint64 now_us);
+
+/**
+ * route_fleet_notable - replicas that the pooled reports show slow or failing
+ * @fleet: a fleet
+ * @most: replicas to visit
+ * @now_us: the clock
+ * @visit: called with each
+ * @user: passed on
+ */
+void route_fleet_notable(struct route_fleet *fleet, guint most, gint64 now_us,
+			 void (*visit)(const char *id,
+				       const struct route_evidence *evidence,
+				       void *user),
+			 void *user);
+
+/**
+ * route_fleet_tell - take the word of a daemon that pools reports
+ * @fleet: a fleet
+ * @id: a replica; an unknown one is left aside
+ * @evidence: what it is said to be like, and when that was said
+ *
+ * It holds until this daemon sees the replica's next answer itself, and is
+ * forgotten like any older sample.
+ *
+ * Return: true if the replica was thought usual before.
+ */
+bool route_fleet_tell(struct route_fleet *fleet, const char *id,
+		      const struct route_evidence *evidence);
+
+/**
+ * route_fleet_tell_end - all that is notable has been told
+ * @fleet: a fleet
+ * @now_us: as in the calls of route_fleet_tell() before
+ * @visit: called with each replica that was told of earlier, and not this
+ *	time: it is usual again
+ * @user: passed on
+ */
+void route_fleet_tell_end(struct route_fleet *fleet, gint64 now_us,
+			  void (*visit)(const char *id, void *user),
+			  void *user);
+
 /* ---- merging ---- */
 
 /** Bytes of one record of a part. */
--- a/src/libforward/follow.c
+++ b/src/libforward/follow.c
@@ -253,6 +253,10 @@
 	word->in_zone = (guint)in_zone;
 	word->at_us = forward_now(follow->engine);
 	follow->words_heard = true;
+	/* A seed pools what its own followers see. */
+	if (!follow->is_seed)
+		forward_evidence_take(follow->engine,
+				      json_object_get(document, "replicas"));
 	set_counts(follow);
 	return true;
 }
@@ -340,6 +344,8 @@
 			own, zone, asked_after(follow));
 	if (follow->is_seed)
 		forward_peers_print_members(follow->engine->peers, head);
+	else
+		forward_evidence_print(follow->engine, head);
 	g_string_append(head, " HTTP/1.1\r\nHost: seed\r\n\r\n");
 	http1_call_send(follow->call, head, NULL, 0, false);
 	g_string_free(head, TRUE);
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -215,6 +215,21 @@
 void forward_peers_print_members(struct forward_peers *peers, GString *query);
 void forward_peers_destroy(struct forward_peers *peers);
 
+/* evidence.c: what daemons see of the replicas, by way of the seeds */
+
+/* Adds this daemon's report to a call. */
+void forward_evidence_print(struct forward_engine *engine, GString *query);
+
+/* Pools the report of a daemon that follows this one. */
+void forward_evidence_pool(struct forward_engine *engine, const char *report);
+
+/* A seed's word: new, of replicas that are slow or fail. The seed takes it
+ * itself. */
+json_t *forward_evidence_word(struct forward_engine *engine);
+
+/* Takes a seed's word; what does not fit is logged and left out. */
+void forward_evidence_take(struct forward_engine *engine, json_t *word);
+
 /* follow.c: what this one asks of the seeds. */
 struct forward_follow *forward_follow_create(
 	struct forward_engine *engine, const struct forward_source *source);
--- a/src/libforward/peers.c
+++ b/src/libforward/peers.c
@@ -26,6 +26,10 @@
 /* The counts are made anew after this time: shares may lag a little. */
 #define COUNT_US (200 * CS_US_PER_MS)
 
+/* So is the word about the replicas: a quarter of the time between two calls of
+ * a daemon. */
+#define WORD_AGAIN_US (250 * CS_US_PER_MS)
+
 /* Longest wait of a call; the caller finds a silent seed by it. */
 #define HOLD_MAX_US (1 * CS_US_PER_S)
 
@@ -56,6 +60,9 @@
 	gint64 text_after;
 	gint64 text_revision;
 	char *text;
+	/* What is said of the replicas, made anew once in a while. */
+	char *word;
+	gint64 word_us;
 	/* How many daemons each zone has, counted once in a while. */
 	GHashTable *counts;
 	guint total;
@@ -251,6 +258,22 @@
 	return peers->text;
 }
 
+/* Return: what is said of the replicas as text; owned by @peers. */
+static const char *word_text(struct forward_peers *peers)
+{
+	gint64 now = forward_now(peers->engine);
+	json_t *word;
+
+	if (peers->word && now - peers->word_us < WORD_AGAIN_US)
+		return peers->word;
+	word = forward_evidence_word(peers->engine);
+	g_free(peers->word);
+	peers->word = cs_json_print(word);
+	peers->word_us = now;
+	json_decref(word);
+	return peers->word;
+}
+
 static void answer(struct forward_peers *peers, struct http1_exchange *exchange,
 		   const char *zone, gint64 after)
 {
@@ -262,9 +285,10 @@
 
 	g_string_printf(body,
 			"{\"daemons\": %u, \"daemons_in_zone\": %u, "
-			"\"age_ms\": %" G_GINT64_FORMAT,
+			"\"age_ms\": %" G_GINT64_FORMAT ", \"replicas\": %s",
 			peers->total, in_zone,
-			forward_picture_age(peers->engine) / CS_US_PER_MS);
+			forward_picture_age(peers->engine) / CS_US_PER_MS,
+			word_text(peers));
 	if (picture) {
 		g_string_append(body, ", \"picture\": ");
 		g_string_append(body, picture);
@@ -349,6 +373,7 @@
 	const char *control = NULL;
 	const char *zone = NULL;
 	const char *after = NULL;
+	const char *seen = NULL;
 	struct sockaddr_in at;
 
 	if (g_str_has_prefix(target, FORWARD_FOLLOW_PATH))
@@ -358,6 +383,7 @@
 		control = g_hash_table_lookup(words, "control");
 		zone = g_hash_table_lookup(words, "zone");
 		after = g_hash_table_lookup(words, "after");
+		seen = g_hash_table_lookup(words, "seen");
 		refusal.status = 400;
 	}
 	if (!control || !zone || !after || cs_endpoint_parse(control, &at)) {
@@ -365,6 +391,8 @@
 		return;
 	}
 	hear(peers, control, zone, g_hash_table_lookup(words, "callers"));
+	if (seen)
+		forward_evidence_pool(peers->engine, seen);
 	hold(peers, exchange, zone, strtoll(after, NULL, 10));
 }
 
@@ -409,5 +437,6 @@
 	g_hash_table_unref(peers->heard);
 	g_hash_table_unref(peers->counts);
 	g_free(peers->text);
+	g_free(peers->word);
 	g_free(peers);
 }
--- a/src/libroute/estimate.c
+++ b/src/libroute/estimate.c
@@ -30,6 +30,9 @@
  * turn a replica away, a slow one is left after some answers. */
 #define SAMPLE_FACTOR_MAX 3.0
 
+/* One answer is reported to others as at most this slow. */
+#define TALLY_MAX 20.0
+
 /* Slowness of a replica that answers at once. */
 #define SLOWNESS_MIN 0.2
 
@@ -144,15 +147,20 @@
 
 /* ---- answers ---- */
 
-/* What is left of a replica's slowness after the last sample's age. */
+/* What is left of a replica's slowness after the age of the last sample, or of
+ * a later word of others. */
 static double slowness_of(const struct route_replica *replica, gint64 now_us)
 {
+	const struct route_evidence *told = &replica->told;
+	bool is_told = told->at_us > replica->sampled_us;
+	double slowness = is_told ? told->slowness : replica->slowness;
+	gint64 at_us = is_told ? told->at_us : replica->sampled_us;
 	double weight;
 
-	if (!replica->sampled_us)
+	if (!at_us)
 		return replica->cold_until_us > now_us ? COLD_FACTOR : 1;
-	weight = say(now_us - replica->sampled_us);
-	return replica->slowness * weight + (1 - weight);
+	weight = say(now_us - at_us);
+	return slowness * weight + (1 - weight);
 }
 
 double route_expected_us(const struct route_work *work,
@@ -172,6 +180,10 @@
 
 double route_failure_rate(const struct route_replica *replica, gint64 now_us)
 {
+	const struct route_evidence *told = &replica->told;
+
+	if (told->at_us > replica->failed_us)
+		return told->failure_rate * say(now_us - told->at_us);
 	return replica->failure_rate * say(now_us - replica->failed_us);
 }
 
@@ -193,6 +205,8 @@
 	double spent = MAX(sample_us - route_round_trip_us(replica), 100.0);
 	double ratio = spent / work->us;
 
+	replica->unsaid.answers++;
+	replica->unsaid.slowness += MIN(ratio, TALLY_MAX);
 	ratio = CLAMP(ratio, SLOWNESS_MIN, SAMPLE_FACTOR_MAX * slowness);
 	move(&work->deviation, fabs(ratio / slowness - 1), WORK_WEIGHT);
 	move(&work->us, work->us * ratio / MAX(slowness, 1), WORK_WEIGHT);
@@ -204,6 +218,7 @@
 static void learn_failure(struct route_replica *replica, double failed,
 			  gint64 now_us)
 {
+	replica->unsaid.failures += failed > 0;
 	replica->failure_rate = route_failure_rate(replica, now_us);
 	move(&replica->failure_rate, failed, FAILURE_WEIGHT);
 	replica->failed_us = now_us;
--- a/test/unit/test_follow.c
+++ b/test/unit/test_follow.c
@@ -268,8 +268,147 @@
 }
 END_TEST
 
+static void list_replica(struct daemon2 *daemon)
+{
+	struct route_entry entry = {.id = "u:1",
+				    .service = "s",
+				    .zone = "a",
+				    .address = net_address(99),
+				    .slots = 4};
+
+	route_fleet_put(forward_engine_fleet(daemon->engine), &entry, 0);
+}
+
+/* The replica as a daemon knows it. */
+static struct route_replica *replica_of(struct daemon2 *daemon)
+{
+	struct route_fleet *fleet = forward_engine_fleet(daemon->engine);
+	struct route route = {.name = (char *)"r"};
+	struct route_ask ask = {.route = &route};
+	enum route_lack lack;
+	struct route_replica *replica;
+
+	route.regions = g_ptr_array_new();
+	ask.work = route_fleet_work(fleet, &route);
+	replica =
+		route_pool_choose(route_fleet_pool(fleet, "s"), &ask, 0, &lack);
+	g_ptr_array_unref(route.regions);
+	ck_assert_ptr_nonnull(replica);
+	return replica;
+}
+
+/* An answer of the replica that took so long. */
+static void see(struct net *net, struct daemon2 *daemon, gint64 ms)
+{
+	struct route route = {.name = (char *)"r"};
+	struct route_fleet *fleet = forward_engine_fleet(daemon->engine);
+	struct route_attempt attempt = {0};
+	gint64 now = cs_clock_now(net->clock);
+
+	route_attempt_begin(&attempt, replica_of(daemon),
+			    route_fleet_work(fleet, &route), now - ms * MS);
+	route_attempt_end(&attempt, ROUTE_GOOD, now);
+}
+
+START_TEST(what_one_daemon_sees_reaches_the_others_by_the_seed)
+{
+	struct net net = net_create();
+	struct daemon2 seeds[SEEDS];
+	struct daemon2 followers[2];
+
+	start(&net, &seeds[0], 0, "a");
+	start(&net, &seeds[1], 1, "b");
+	for (guint i = 0; i < 2; i++)
+		start(&net, &followers[i], 2 + i, "a");
+	for (guint i = 0; i < 2; i++) {
+		list_replica(&seeds[i]);
+		list_replica(&followers[i]);
+	}
+	for (int i = 0; i < 60; i++) {
+		confirm(&net, &seeds[0], 5);
+		confirm(&net, &seeds[1], 5);
+		if (i % 2)
+			see(&net, &followers[0], 400);
+		net_pass(&net, 100);
+	}
+	/* The other has never asked it, and neither have the seeds. */
+	ck_assert_int_eq(replica_of(&followers[1])->sampled_us, 0);
+	ck_assert(replica_of(&followers[1])->told.slowness > 2);
+	ck_assert(replica_of(&seeds[0])->told.slowness > 2 ||
+		  replica_of(&seeds[1])->told.slowness > 2);
+	for (guint i = 0; i < SEEDS; i++)
+		end(&seeds[i]);
+	for (guint i = 0; i < 2; i++)
+		end(&followers[i]);
+	net_destroy(&net);
+}
+END_TEST
+
+/* A report is left at the first word that is none; the rest goes on. */
+START_TEST(damaged_reports_and_words_change_nothing)
+{
+	static const char *const reports[] = {
+		"u%253A1:1:0", "u%253A1:1:0:x",	    "u%253A1:-1:0:900", ":::",
+		":",	       "u%253A1:1:0:900:1", "nobody:5:5:900",	"",
+	};
+	static const char *const words[] = {
+		"[[\"u:1\", 9]]",     "[[\"u:1\", \"9\", 0]]", "[[7, 9, 0]]",
+		"[[\"u:1\", -1, 0]]", "[[\"u:1\", 9, 2]]",     "[7]",
+		"{\"u:1\": 9}",	      "[[\"u:1\", 1e9, 0]]",
+	};
+	struct net net = net_create();
+	struct daemon2 seed;
+
+	start(&net, &seed, 0, "a");
+	list_replica(&seed);
+	confirm(&net, &seed, 5);
+	for (gsize i = 0; i < G_N_ELEMENTS(reports); i++) {
+		struct net_client *client =
+			net_connect(&net, &seed.settings.control);
+		g_autofree char *head = g_strdup_printf(
+			"GET /v1/follow?control=127.0.0.1:9&zone=a&after=0"
+			"&seen=%s HTTP/1.1\r\nHost: s\r\n\r\n",
+			reports[i]);
+
+		net_send(client, head);
+		net_pass(&net, 5);
+		net_read(client);
+		ck_assert_msg(
+			g_str_has_prefix(client->got->str, "HTTP/1.1 200 "),
+			"report %zu", i);
+		net_close(client);
+	}
+	ck_assert_int_eq(replica_of(&seed)->pooled.at_us, 0);
+	end(&seed);
+	for (gsize i = 0; i < G_N_ELEMENTS(words); i++) {
+		g_autofree char *body = g_strdup_printf(
+			"{\"daemons\": 2, \"daemons_in_zone\": 1, "
+			"\"age_ms\": 0, \"replicas\": %s}",
+			words[i]);
+		g_autofree char *reply = g_strdup_printf(
+			"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+			strlen(body), body);
+		/* The address of the first seed. */
+		struct net_script *script =
+			net_script_create(&net, 72, reply, true);
+		struct daemon2 follower;
+
+		start(&net, &follower, 2, "a");
+		list_replica(&follower);
+		net_pass(&net, 200);
+		ck_assert_uint_gt(script->requests, 0);
+		ck_assert_int_eq(replica_of(&follower)->told.at_us, 0);
+		end(&follower);
+		net_script_destroy(script);
+	}
+	net_destroy(&net);
+}
+END_TEST
+
 UNIT_MAIN("follow", a_daemon_follows_the_seeds_and_leaves_the_platform_alone,
 	  a_late_seed_is_left_for_one_that_is_current,
 	  without_a_seed_the_platform_is_read_in_time,
 	  a_daemon_without_any_picture_soon_reads_the_platform,
-	  each_daemon_counts_once_whatever_seed_it_calls)
+	  each_daemon_counts_once_whatever_seed_it_calls,
+	  what_one_daemon_sees_reaches_the_others_by_the_seed,
+	  damaged_reports_and_words_change_nothing)
--- a/test/unit/test_route.c
+++ b/test/unit/test_route.c
@@ -1,8 +1,8 @@
 /* Routes, the choice of replicas, the budget, merging: all without a network.
  */
+#include "picture.h"
 #include "unit.h"
 
-#include "cuminsail/endpoint.h"
 #include "cuminsail/route.h"
 
 #include <math.h>
@@ -10,23 +10,6 @@
 
 /* ---- tables ---- */
 
-static struct route *add_route(struct route_table *table, const char *name,
-			       const char *host, const char *prefix,
-			       enum route_target target)
-{
-	struct route *route = route_create(target);
-
-	route->name = g_strdup(name);
-	route->host = g_strdup(host);
-	route->prefix = g_strdup(prefix);
-	route->idempotent = true;
-	route->attempts_max = 2;
-	route->objective_us = 100 * MS;
-	route->timeout_us = 1000 * MS;
-	route_table_add(table, route);
-	return route;
-}
-
 START_TEST(the_longest_prefix_of_the_host_wins)
 {
 	static const struct {
@@ -45,10 +28,10 @@
 	};
 	struct route_table *table = route_table_create(1);
 
-	add_route(table, "root", "h.example", "/", ROUTE_SERVICE);
-	add_route(table, "a", "h.example", "/a/", ROUTE_SERVICE);
-	add_route(table, "ab", "h.example", "/a/b/", ROUTE_SERVICE);
-	add_route(table, "other", "i.example", "/b/", ROUTE_SERVICE);
+	picture_route(table, "root", "h.example", "/", ROUTE_SERVICE);
+	picture_route(table, "a", "h.example", "/a/", ROUTE_SERVICE);
+	picture_route(table, "ab", "h.example", "/a/b/", ROUTE_SERVICE);
+	picture_route(table, "other", "i.example", "/b/", ROUTE_SERVICE);
 	route_table_seal(table);
 	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
 		const struct route *route =
@@ -65,7 +48,7 @@
 START_TEST(a_split_keeps_to_its_weights_in_every_run)
 {
 	struct route_table *table = route_table_create(1);
-	struct route *route = add_route(table, "r", "h", "/", ROUTE_SPLIT);
+	struct route *route = picture_route(table, "r", "h", "/", ROUTE_SPLIT);
 	static const double weights[] = {5, 3, 2};
 	guint counts[3] = {0};
 
@@ -86,134 +69,44 @@
 
 /* ---- choosing ---- */
 
-struct picture {
-	struct route_fleet *fleet;
-	struct route_table *table;
-	struct route *route;
-	struct route_work *work;
-	GHashTable *regions;
-	gint64 now;
-};
-
-static struct picture picture_create(void)
-{
-	struct picture p = {.now = 1000 * CS_US_PER_S};
-	struct route_bounds bounds = {
-		.budget_ratio = 0.2,
-		.budget_slack = 50,
-		.budget_window_us = 10 * CS_US_PER_S,
-		.daemons = 10,
-		.daemons_in_zone = 4,
-		.cold_overrun = 1.5,
-		.drain_us = 3 * CS_US_PER_S,
-	};
-
-	p.regions = g_hash_table_new(g_str_hash, g_str_equal);
-	g_hash_table_insert(p.regions, "a", "east");
-	g_hash_table_insert(p.regions, "b", "west");
-	p.fleet = route_fleet_create("a", p.regions);
-	route_fleet_set_bounds(p.fleet, &bounds);
-	p.table = route_table_create(1);
-	p.route = add_route(p.table, "r", "h", "/", ROUTE_SERVICE);
-	route_table_add_service(p.table, "s", 30, 0);
-	route_table_seal(p.table);
-	route_fleet_set_table(p.fleet, p.table);
-	p.work = route_fleet_work(p.fleet, p.route);
-	return p;
-}
-
-static void picture_destroy(struct picture *p)
-{
-	route_fleet_destroy(p->fleet);
-	route_table_unref(p->table);
-	g_hash_table_unref(p->regions);
-}
-
-static struct route_entry entry_of(const char *id, const char *zone)
-{
-	struct route_entry entry = {
-		.id = id, .service = "s", .zone = zone, .slots = 3};
-	g_autofree char *address =
-		g_strdup_printf("10.0.0.%u:80", g_str_hash(id) % 250);
-
-	ck_assert_int_eq(cs_endpoint_parse(address, &entry.address), 0);
-	return entry;
-}
-
-static void put(struct picture *p, const char *id, const char *zone)
-{
-	struct route_entry entry = entry_of(id, zone);
-
-	route_fleet_put(p->fleet, &entry, p->now);
-}
-
-static struct route_replica *choose(struct picture *p,
-				    struct route_replica *tried)
-{
-	struct route_ask ask = {p->route, p->work, &tried, tried ? 1 : 0};
-	enum route_lack lack;
-
-	return route_pool_choose(route_fleet_pool(p->fleet, "s"), &ask, p->now,
-				 &lack);
-}
-
-/* The id chosen, or "" for none. */
-static const char *chosen(struct picture *p)
-{
-	struct route_replica *replica = choose(p, NULL);
-
-	return replica ? replica->id : "";
-}
-
-/* One request with the given outcome after the given time. */
-static void ask_once(struct picture *p, struct route_replica *replica,
-		     enum route_result result, gint64 us)
-{
-	struct route_attempt attempt = {0};
-
-	replica->connections = 1;
-	route_attempt_begin(&attempt, replica, p->work, p->now);
-	p->now += us;
-	route_attempt_end(&attempt, result, p->now);
-}
-
 START_TEST(a_replica_that_may_not_be_asked_is_never_chosen)
 {
 	struct picture p = picture_create();
 	struct route_entry entry;
 
-	ck_assert_str_eq(chosen(&p), "");
-	put(&p, "near", "a");
-	put(&p, "far", "b");
-	ck_assert_str_eq(chosen(&p), "near");
+	ck_assert_str_eq(picture_chosen(&p), "");
+	picture_put(&p, "near", "a");
+	picture_put(&p, "far", "b");
+	ck_assert_str_eq(picture_chosen(&p), "near");
 	/* Already tried. */
-	ck_assert_str_eq(choose(&p, choose(&p, NULL))->id, "far");
+	ck_assert_str_eq(picture_choose(&p, picture_choose(&p, NULL))->id,
+			 "far");
 	/* The availability zone is out, and back. */
 	route_fleet_evacuate(p.fleet, "a", true);
-	ck_assert_str_eq(chosen(&p), "far");
-	put(&p, "new", "a");
-	ck_assert_str_eq(chosen(&p), "far");
+	ck_assert_str_eq(picture_chosen(&p), "far");
+	picture_put(&p, "new", "a");
+	ck_assert_str_eq(picture_chosen(&p), "far");
 	route_fleet_evacuate(p.fleet, "a", false);
 	route_fleet_remove(p.fleet, "new", false, p.now);
-	ck_assert_str_eq(chosen(&p), "near");
+	ck_assert_str_eq(picture_chosen(&p), "near");
 	/* Only some regions are allowed. */
 	g_ptr_array_add(p.route->regions, g_strdup("west"));
-	ck_assert_str_eq(chosen(&p), "far");
+	ck_assert_str_eq(picture_chosen(&p), "far");
 	g_ptr_array_set_size(p.route->regions, 0);
 	/* Leaving. */
-	entry = entry_of("near", "a");
+	entry = picture_entry("near", "a");
 	entry.leaving = true;
 	route_fleet_put(p.fleet, &entry, p.now);
-	ck_assert_str_eq(chosen(&p), "far");
-	put(&p, "near", "a");
+	ck_assert_str_eq(picture_chosen(&p), "far");
+	picture_put(&p, "near", "a");
 	/* Another replica has its address. */
-	ask_once(&p, choose(&p, NULL), ROUTE_MISPLACED, MS);
-	ck_assert_str_eq(chosen(&p), "far");
+	picture_ask(&p, picture_choose(&p, NULL), ROUTE_MISPLACED, MS);
+	ck_assert_str_eq(picture_chosen(&p), "far");
 	/* Until a new incarnation is listed there. */
-	entry = entry_of("near", "a");
+	entry = picture_entry("near", "a");
 	entry.incarnation = 2;
 	route_fleet_put(p.fleet, &entry, p.now);
-	ck_assert_str_eq(chosen(&p), "near");
+	ck_assert_str_eq(picture_chosen(&p), "near");
 	picture_destroy(&p);
 }
 END_TEST
@@ -222,21 +115,21 @@
 {
 	struct picture p = picture_create();
 
-	put(&p, "near", "a");
-	put(&p, "far", "b");
+	picture_put(&p, "near", "a");
+	picture_put(&p, "far", "b");
 	ck_assert(route_fleet_remove(p.fleet, "near", true, p.now));
-	ck_assert_str_eq(chosen(&p), "far");
+	ck_assert_str_eq(picture_chosen(&p), "far");
 	ck_assert(route_fleet_remove(p.fleet, "far", true, p.now));
-	ck_assert_str_eq(chosen(&p), "near");
+	ck_assert_str_eq(picture_chosen(&p), "near");
 	ck_assert_uint_eq(route_fleet_count(p.fleet), 0);
 	p.now += 2100 * MS;
 	route_fleet_expire(p.fleet, p.now);
-	ck_assert_str_eq(chosen(&p), "near");
+	ck_assert_str_eq(picture_chosen(&p), "near");
 	/* Below the 3 s for which a replica serves on after its entry. */
 	p.now += 800 * MS;
-	ck_assert_str_eq(chosen(&p), "");
+	ck_assert_str_eq(picture_chosen(&p), "");
 	route_fleet_expire(p.fleet, p.now);
-	ck_assert_str_eq(chosen(&p), "");
+	ck_assert_str_eq(picture_chosen(&p), "");
 	picture_destroy(&p);
 }
 END_TEST
@@ -246,18 +139,18 @@
 	struct picture p = picture_create();
 	struct route_attempt attempt = {0};
 
-	put(&p, "near", "a");
-	put(&p, "far", "b");
+	picture_put(&p, "near", "a");
+	picture_put(&p, "far", "b");
 	for (int i = 0; i < 50; i++)
-		ask_once(&p, choose(&p, NULL), ROUTE_GOOD, 16 * MS);
-	route_attempt_begin(&attempt, choose(&p, NULL), p.work, p.now);
+		picture_ask(&p, picture_choose(&p, NULL), ROUTE_GOOD, 16 * MS);
+	route_attempt_begin(&attempt, picture_choose(&p, NULL), p.work, p.now);
 	p.now += 20 * MS;
-	ck_assert_str_eq(chosen(&p), "near");
+	ck_assert_str_eq(picture_chosen(&p), "near");
 	p.now += 80 * MS;
-	ck_assert_str_eq(chosen(&p), "far");
+	ck_assert_str_eq(picture_chosen(&p), "far");
 	route_attempt_end(&attempt, ROUTE_GOOD, p.now);
 	/* One pause does not turn it away. */
-	ck_assert_str_eq(chosen(&p), "near");
+	ck_assert_str_eq(picture_chosen(&p), "near");
 	picture_destroy(&p);
 }
 END_TEST
@@ -266,25 +159,25 @@
 {
 	struct picture p = picture_create();
 
-	put(&p, "near", "a");
-	put(&p, "far", "b");
+	picture_put(&p, "near", "a");
+	picture_put(&p, "far", "b");
 	for (int i = 0; i < 100; i++)
-		ask_once(&p, choose(&p, NULL), ROUTE_GOOD, 16 * MS);
+		picture_ask(&p, picture_choose(&p, NULL), ROUTE_GOOD, 16 * MS);
 	/* Eight times slower: left after a few answers. */
-	for (int i = 0; i < 12 && !strcmp(chosen(&p), "near"); i++)
-		ask_once(&p, choose(&p, NULL), ROUTE_GOOD, 120 * MS);
-	ck_assert_str_eq(chosen(&p), "far");
+	for (int i = 0; i < 12 && !strcmp(picture_chosen(&p), "near"); i++)
+		picture_ask(&p, picture_choose(&p, NULL), ROUTE_GOOD, 120 * MS);
+	ck_assert_str_eq(picture_chosen(&p), "far");
 	p.now += 30 * CS_US_PER_S;
-	ck_assert_str_eq(chosen(&p), "near");
+	ck_assert_str_eq(picture_chosen(&p), "near");
 	/* Sheds 45 in 100: left, though its answers are fast. */
-	for (int i = 0; i < 6 && !strcmp(chosen(&p), "near"); i++)
-		ask_once(&p, choose(&p, NULL), ROUTE_SHED, MS);
-	ck_assert_str_eq(chosen(&p), "far");
+	for (int i = 0; i < 6 && !strcmp(picture_chosen(&p), "near"); i++)
+		picture_ask(&p, picture_choose(&p, NULL), ROUTE_SHED, MS);
+	ck_assert_str_eq(picture_chosen(&p), "far");
 	p.now += 30 * CS_US_PER_S;
-	ck_assert_str_eq(chosen(&p), "near");
+	ck_assert_str_eq(picture_chosen(&p), "near");
 	/* Refuses connections: left at once. */
-	ask_once(&p, choose(&p, NULL), ROUTE_UNREACHED, MS);
-	ck_assert_str_eq(chosen(&p), "far");
+	picture_ask(&p, picture_choose(&p, NULL), ROUTE_UNREACHED, MS);
+	ck_assert_str_eq(picture_chosen(&p), "far");
 	picture_destroy(&p);
 }
 END_TEST
@@ -295,17 +188,19 @@
 {
 	struct picture p = picture_create();
 
-	put(&p, "near", "a");
-	put(&p, "far", "b");
+	picture_put(&p, "near", "a");
+	picture_put(&p, "far", "b");
 	for (int i = 0; i < 50; i++)
-		ask_once(&p, choose(&p, NULL), ROUTE_GOOD, 16 * MS);
+		picture_ask(&p, picture_choose(&p, NULL), ROUTE_GOOD, 16 * MS);
 	/* Given up early: says nothing. */
 	for (int i = 0; i < 10; i++)
-		ask_once(&p, choose(&p, NULL), ROUTE_DROPPED, 16 * MS);
-	ck_assert_str_eq(chosen(&p), "near");
-	for (int i = 0; i < 6 && !strcmp(chosen(&p), "near"); i++)
-		ask_once(&p, choose(&p, NULL), ROUTE_DROPPED, 700 * MS);
-	ck_assert_str_eq(chosen(&p), "far");
+		picture_ask(&p, picture_choose(&p, NULL), ROUTE_DROPPED,
+			    16 * MS);
+	ck_assert_str_eq(picture_chosen(&p), "near");
+	for (int i = 0; i < 6 && !strcmp(picture_chosen(&p), "near"); i++)
+		picture_ask(&p, picture_choose(&p, NULL), ROUTE_DROPPED,
+			    700 * MS);
+	ck_assert_str_eq(picture_chosen(&p), "far");
 	picture_destroy(&p);
 }
 END_TEST
@@ -317,10 +212,10 @@
 	struct route_replica *far;
 	guint sum;
 
-	put(&p, "near", "a");
-	near = choose(&p, NULL);
-	put(&p, "far", "b");
-	far = choose(&p, near);
+	picture_put(&p, "near", "a");
+	near = picture_choose(&p, NULL);
+	picture_put(&p, "far", "b");
+	far = picture_choose(&p, near);
 	/* Four daemons of the own zone; six far ones, overcommitted twice. */
 	sum = 4 * route_replica_connections(near) +
 	      6 * route_replica_connections(far) / 2;
@@ -329,15 +224,15 @@
 	/* Two are opened at a time, none while the replica resets them. */
 	near->connections = near->connecting = 2;
 	near->n_open = 2;
-	ck_assert_str_eq(chosen(&p), "far");
+	ck_assert_str_eq(picture_chosen(&p), "far");
 	near->connecting = 0;
-	ck_assert_str_eq(chosen(&p), "near");
+	ck_assert_str_eq(picture_chosen(&p), "near");
 	route_replica_crowded(near, p.now);
-	ck_assert_str_eq(chosen(&p), "far");
+	ck_assert_str_eq(picture_chosen(&p), "far");
 	p.now += 300 * MS;
-	ck_assert_str_eq(chosen(&p), "near");
+	ck_assert_str_eq(picture_chosen(&p), "near");
 	near->n_open = near->connections = route_replica_connections(near);
-	ck_assert_str_eq(chosen(&p), "far");
+	ck_assert_str_eq(picture_chosen(&p), "far");
 	near->n_open = near->connections = 0;
 	picture_destroy(&p);
 }
@@ -347,7 +242,7 @@
 START_TEST(a_cold_replica_gets_its_share_of_requests)
 {
 	struct picture p = picture_create();
-	struct route_entry entry = entry_of("near", "a");
+	struct route_entry entry = picture_entry("near", "a");
 	guint sent = 0;
 
 	route_table_add_service(p.table, "s", 30, 20);
@@ -355,11 +250,11 @@
 	entry.cold_us = 10 * CS_US_PER_S;
 	route_fleet_put(p.fleet, &entry, p.now);
 	for (int ms = 0; ms < 5000; ms++) {
-		struct route_replica *replica = choose(&p, NULL);
+		struct route_replica *replica = picture_choose(&p, NULL);
 
 		if (replica) {
 			sent++;
-			ask_once(&p, replica, ROUTE_GOOD, 0);
+			picture_ask(&p, replica, ROUTE_GOOD, 0);
 		}
 		p.now += MS;
 	}
@@ -456,14 +351,14 @@
 
 	light->name = g_strdup("light");
 	light_work = route_fleet_work(p.fleet, light);
-	put(&p, "near", "a");
-	near = choose(&p, NULL);
+	picture_put(&p, "near", "a");
+	near = picture_choose(&p, NULL);
 	for (int i = 0; i < 2000; i++) {
 		double jitter = g_rand_double_range(random, 0.6, 1.4);
 
 		p.work = i % 4 ? heavy_work : light_work;
-		ask_once(&p, near, ROUTE_GOOD,
-			 (gint64)((i % 4 ? 15 : 5) * jitter * MS));
+		picture_ask(&p, near, ROUTE_GOOD,
+			    (gint64)((i % 4 ? 15 : 5) * jitter * MS));
 	}
 	ck_assert_int_lt(route_hedge_us(light_work, near, p.now), 15 * MS);
 	ck_assert_int_gt(route_hedge_us(light_work, near, p.now), 6 * MS);
@@ -510,9 +405,9 @@
 	const guint n = 2000;
 	guint first = 0;
 
-	put(&p, "near", "a");
-	put(&p, "far-1", "b");
-	put(&p, "far-2", "b");
+	picture_put(&p, "near", "a");
+	picture_put(&p, "far-1", "b");
+	picture_put(&p, "far-2", "b");
 	for (guint i = 0; i < n; i++) {
 		struct route_replica *replica;
 		gint64 us;
@@ -526,7 +421,7 @@
 						  ends[first]);
 		}
 		route_pool_earn(pool, p.now);
-		replica = choose(&p, NULL);
+		replica = picture_choose(&p, NULL);
 		ck_assert_ptr_nonnull(replica);
 		us = served_us(random, replica, p.now);
 		hedge = route_hedge_us(p.work, replica, p.now);
@@ -534,7 +429,8 @@
 		ends[i] = p.now + us;
 		if (us > hedge &&
 		    route_pool_spend(pool, ROUTE_HEDGE, p.now + hedge)) {
-			struct route_replica *other = choose(&p, replica);
+			struct route_replica *other =
+				picture_choose(&p, replica);
 
 			extra++;
 			us = MIN(us, hedge + served_us(random, other,
