Pictures pass between daemons packed

Change: the picture in a seed's answer is base64 of gzip, made once for each revision asked after (eight are kept; before one). A damaged picture makes the daemon leave the seed; before, it stayed and grew old.

Tests: what_is_packed_comes_back_whole, damaged_and_too_large_packs_are_refused, a_seed_with_a_damaged_picture_is_left.

--- a/include/cuminsail/cuminsail.h
+++ b/include/cuminsail/cuminsail.h
@@ -32,6 +32,7 @@
 #include "cuminsail/json.h"
 #include "cuminsail/log.h"
 #include "cuminsail/operator.h"
+#include "cuminsail/pack.h"
 #include "cuminsail/peer.h"
 #include "cuminsail/platform.h"
 #include "cuminsail/policy_fleet.h"
--- a/src/libforward/follow.c
+++ b/src/libforward/follow.c
@@ -11,6 +11,7 @@
 
 #include "cuminsail/endpoint.h"
 #include "cuminsail/log.h"
+#include "cuminsail/pack.h"
 
 #include <string.h>
 
@@ -45,6 +46,9 @@
 /* A nearer seed that was left is tried again after this time. */
 #define HOME_AGAIN_US (5 * CS_US_PER_S)
 
+/* Largest picture that is taken: 16 times a value of the store. */
+#define PICTURE_BYTES_MAX 16777216
+
 /* A count is believed for this long. */
 #define COUNT_US (7 * CS_US_PER_S)
 
@@ -222,16 +226,31 @@
 							    : AGAIN_US);
 }
 
-static void take_picture(struct forward_follow *follow, json_t *document,
+/* Return: false if there is a picture that cannot be read. */
+static bool take_picture(struct forward_follow *follow, json_t *document,
 			 gint64 age_us)
 {
-	json_t *picture = json_object_get(document, "picture");
-	gint64 now = forward_now(follow->engine);
-
-	if (!picture)
-		return;
+	const char *packed =
+		json_string_value(json_object_get(document, "picture"));
+	g_autofree char *text = NULL;
+	g_autofree char *why = NULL;
+	json_t *picture = NULL;
+
+	/* A seed that has just started has none. */
+	if (!packed)
+		return true;
+	text = cs_unpack(packed, PICTURE_BYTES_MAX, &why);
+	if (text)
+		picture = cs_json_parse(text, strlen(text), &why);
+	if (!picture) {
+		cs_log(LOG_WARNING, "picture-invalid", "why", why, NULL);
+		return false;
+	}
 	follow->source.offer(picture, follow->source.user);
-	forward_engine_confirm(follow->engine, now - age_us);
+	json_decref(picture);
+	forward_engine_confirm(follow->engine,
+			       forward_now(follow->engine) - age_us);
+	return true;
 }
 
 /* Return: whether the document is an answer of a seed. */
@@ -297,8 +316,8 @@
 		http1_call_close(call);
 		follow->call = NULL;
 	}
-	if (document && take_word(follow, document, &age_us)) {
-		take_picture(follow, document, age_us);
+	if (document && take_word(follow, document, &age_us) &&
+	    take_picture(follow, document, age_us)) {
 		after_answer(follow, age_us);
 	} else {
 		fail(follow, "bad-answer");
@@ -445,7 +464,7 @@
 	follow->started_us = forward_now(engine);
 	follow->source = *source;
 	follow->limits.header_bytes = 65536;
-	follow->limits.body_bytes = 16777216;
+	follow->limits.body_bytes = PICTURE_BYTES_MAX;
 	follow->n_seeds = engine->settings->seeds->len;
 	follow->words = g_new0(struct seed_word, MAX(follow->n_seeds, 1));
 	follow->probes = g_new0(struct probe, MAX(follow->n_seeds, 1));
--- a/src/libforward/peers.c
+++ b/src/libforward/peers.c
@@ -11,6 +11,7 @@
 
 #include "cuminsail/endpoint.h"
 #include "cuminsail/log.h"
+#include "cuminsail/pack.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -30,6 +31,9 @@
  * a daemon. */
 #define WORD_AGAIN_US (250 * CS_US_PER_MS)
 
+/* Texts kept of one revision: one for each that a caller may still have. */
+#define TEXTS_MAX 8
+
 /* Longest wait of a call; the caller finds a silent seed by it. */
 #define HOLD_MAX_US (1 * CS_US_PER_S)
 
@@ -56,10 +60,9 @@
 	GHashTable *heard; /* control address to struct heard */
 	TAILQ_HEAD(, held) held;
 	struct forward_source source;
-	/* Most callers ask after the same revision: its text is made once. */
-	gint64 text_after;
-	gint64 text_revision;
-	char *text;
+	/* Most callers ask after a few revisions: their texts are made once. */
+	GHashTable *texts; /* revision asked after to packed text */
+	gint64 texts_revision;
 	/* What is said of the replicas, made anew once in a while. */
 	char *word;
 	gint64 word_us;
@@ -237,25 +240,31 @@
 
 /* ---- answers ---- */
 
-/* Return: the changes after a revision as text, or NULL; owned by @peers. */
+/* Return: the changes after a revision, packed, or NULL; owned by @peers. */
 static const char *picture_text(struct forward_peers *peers, gint64 after)
 {
 	const struct forward_source *source = &peers->source;
 	gint64 revision = source->revision ? source->revision(source->user) : 0;
+	g_autofree char *text = NULL;
+	char *packed;
 	json_t *picture;
 
-	if (peers->text && peers->text_after == after &&
-	    peers->text_revision == revision)
-		return peers->text;
-	g_clear_pointer(&peers->text, g_free);
+	if (peers->texts_revision != revision ||
+	    g_hash_table_size(peers->texts) >= TEXTS_MAX)
+		g_hash_table_remove_all(peers->texts);
+	peers->texts_revision = revision;
+	packed = g_hash_table_lookup(peers->texts, &after);
+	if (packed)
+		return packed;
 	picture = source->export ? source->export(after, source->user) : NULL;
 	if (!picture)
 		return NULL;
-	peers->text = cs_json_print(picture);
-	peers->text_after = after;
-	peers->text_revision = revision;
+	text = cs_json_print(picture);
 	json_decref(picture);
-	return peers->text;
+	packed = cs_pack(text);
+	g_hash_table_insert(peers->texts, g_memdup2(&after, sizeof(after)),
+			    packed);
+	return packed;
 }
 
 /* Return: what is said of the replicas as text; owned by @peers. */
@@ -289,10 +298,8 @@
 			peers->total, in_zone,
 			forward_picture_age(peers->engine) / CS_US_PER_MS,
 			word_text(peers));
-	if (picture) {
-		g_string_append(body, ", \"picture\": ");
-		g_string_append(body, picture);
-	}
+	if (picture)
+		g_string_append_printf(body, ", \"picture\": \"%s\"", picture);
 	g_string_append_c(body, '}');
 	reply.body = body->str;
 	reply.length = body->len;
@@ -415,6 +422,8 @@
 					     free_heard);
 	peers->counts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	peers->texts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, g_free);
 	TAILQ_INIT(&peers->held);
 	if (engine->settings->control.sin_port)
 		peers->server = http1_server_create(
@@ -436,7 +445,7 @@
 	http1_server_destroy(peers->server);
 	g_hash_table_unref(peers->heard);
 	g_hash_table_unref(peers->counts);
-	g_free(peers->text);
+	g_hash_table_unref(peers->texts);
 	g_free(peers->word);
 	g_free(peers);
 }
--- a/test/unit/test_follow.c
+++ b/test/unit/test_follow.c
@@ -405,10 +405,40 @@
 }
 END_TEST
 
+START_TEST(a_seed_with_a_damaged_picture_is_left)
+{
+	static const char body[] = "{\"daemons\": 3, \"daemons_in_zone\": 1, "
+				   "\"age_ms\": 0, \"picture\": \"H4sI\"}";
+	g_autofree char *reply = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(body), body);
+	struct net net = net_create();
+	/* The address of the first seed. */
+	struct net_script *script = net_script_create(&net, 72, reply, false);
+	struct daemon2 seed;
+	struct daemon2 follower;
+
+	start(&net, &seed, 1, "b");
+	confirm(&net, &seed, 5);
+	start(&net, &follower, 2, "a");
+	for (int i = 0; i < 20; i++) {
+		net_pass(&net, 100);
+		confirm(&net, &seed, 5);
+	}
+	ck_assert_int_eq(follower.revision, 5);
+	ck_assert(!follower.direct);
+	end(&seed);
+	end(&follower);
+	net_script_destroy(script);
+	net_destroy(&net);
+}
+END_TEST
+
 UNIT_MAIN("follow", a_daemon_follows_the_seeds_and_leaves_the_platform_alone,
 	  a_late_seed_is_left_for_one_that_is_current,
 	  without_a_seed_the_platform_is_read_in_time,
 	  a_daemon_without_any_picture_soon_reads_the_platform,
 	  each_daemon_counts_once_whatever_seed_it_calls,
 	  what_one_daemon_sees_reaches_the_others_by_the_seed,
-	  damaged_reports_and_words_change_nothing)
+	  damaged_reports_and_words_change_nothing,
+	  a_seed_with_a_damaged_picture_is_left)
--- a/test/unit/test_share.c
+++ b/test/unit/test_share.c
@@ -338,10 +338,59 @@
 }
 END_TEST
 
+/* ---- packing ---- */
+
+START_TEST(what_is_packed_comes_back_whole)
+{
+	GString *text = g_string_new(NULL);
+
+	for (int i = 0; i <= 20000; i += 5000) {
+		g_autofree char *packed = cs_pack(text->str);
+		g_autofree char *again = cs_unpack(packed, 1 << 20, NULL);
+
+		ck_assert_ptr_nonnull(again);
+		ck_assert_str_eq(again, text->str);
+		/* Routes are much alike. */
+		if (i)
+			ck_assert_uint_lt(strlen(packed), text->len / 5);
+		for (int k = 0; k < 5000; k++)
+			g_string_append_printf(text, "{\"route\": \"r-%d\"}",
+					       k);
+	}
+	g_string_free(text, TRUE);
+}
+END_TEST
+
+START_TEST(damaged_and_too_large_packs_are_refused)
+{
+	g_autofree char *zeros = g_strnfill(100000, '0');
+	g_autofree char *bomb = cs_pack(zeros);
+	g_autofree char *cut = g_strndup(bomb, strlen(bomb) / 2 / 4 * 4);
+	g_autofree char *plain = g_base64_encode((const guchar *)"text", 4);
+	const struct {
+		const char *packed;
+		gsize most;
+	} cases[] = {
+		{"", 100},     {"%%%", 100},  {plain, 100},
+		{cut, 200000}, {bomb, 99999}, {"H4sI", 100},
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *why = NULL;
+
+		ck_assert_msg(!cs_unpack(cases[i].packed, cases[i].most, &why),
+			      "case %zu", i);
+		ck_assert_ptr_nonnull(why);
+	}
+}
+END_TEST
+
 UNIT_MAIN("share", timers_fire_in_order_of_time,
 	  a_log_value_never_starts_a_line, json_from_outside_is_read_strictly,
 	  objects_are_read_through_tables, docs_repeat_the_error_table,
 	  docs_repeat_the_counters, histograms_count_up_to_each_bound,
 	  a_log_reader_that_stands_still_holds_nothing_up,
 	  counters_print_one_row_for_each_reason,
-	  every_code_has_a_name_a_text_and_a_status)
+	  every_code_has_a_name_a_text_and_a_status,
+	  what_is_packed_comes_back_whole,
+	  damaged_and_too_large_packs_are_refused)
