--- a/include/cuminsail/caller.h
+++ b/include/cuminsail/caller.h
@@ -11,6 +11,7 @@
 #include "cuminsail/config.h"
 #include "cuminsail/counters.h"
 #include "cuminsail/error.h"
+#include "cuminsail/http1.h"
 
 struct caller_server;
 struct caller_exchange;
@@ -43,7 +44,7 @@
 
 /**
  * caller_server_create - listen
- * @clock: the clock
+ * @loop: the loop
  * @settings: addresses and limits; must outlive the server
  * @counters: where to count
  * @hooks: what to do; copied
@@ -51,7 +52,7 @@
  *
  * Return: a new server, or NULL with @why set.
  */
-struct caller_server *caller_server_create(struct cs_clock *clock,
+struct caller_server *caller_server_create(struct http1_loop *loop,
 					   const struct settings *settings,
 					   struct cs_counters *counters,
 					   const struct caller_hooks *hooks,
--- a/include/cuminsail/config.h
+++ b/include/cuminsail/config.h
@@ -12,6 +12,8 @@
 
 #include "cuminsail/json.h"
 
+#include <netinet/in.h>
+
 /** Largest merged document and largest list, in bytes. */
 #define CONFIG_DOCUMENT_MAX (1024 * 1024)
 
@@ -244,6 +246,16 @@
 	gint64 port;
 };
 
+/**
+ * settings_address_socket - the address as the kernel takes it
+ * @at: an address
+ * @socket: where to put it
+ *
+ * Return: 0 or CS_E_RANGE.
+ */
+int settings_address_socket(const struct settings_address *at,
+			    struct sockaddr_in *socket);
+
 /** A peer known before any list is read. */
 struct settings_peer {
 	char *id;
--- a/include/cuminsail/http1.h
+++ b/include/cuminsail/http1.h
@@ -235,6 +235,15 @@
 	guint connections; /* most open connections */
 };
 
+/** An answer to send. */
+struct http1_reply {
+	guint status;
+	const char *lines; /* whole header lines, each ended by CRLF; or NULL */
+	const void *body;
+	gsize length;
+	bool close; /* close the connection afterwards */
+};
+
 /** What the owner of a server does. */
 struct http1_server_hooks {
 	/* A whole request came. Reply once, now or later. */
@@ -242,11 +251,20 @@
 			const struct http1_message *request, void *user);
 	/* The caller closed before the reply; no reply is due. */
 	void (*gone)(struct http1_exchange *exchange, void *user);
-	/* A request was refused before it was whole; may be NULL. */
-	void (*refused)(guint status, void *user);
+	/* A request is refused before it is whole; may be NULL. Lines and body
+	 * may be added to the reply; they are copied. */
+	void (*refused)(struct http1_reply *reply, void *user);
 	void *user;
 };
 
+/**
+ * http1_refusal_code - why a request was refused before it was whole
+ * @status: of the reply: 400, 408, 413 or 431
+ *
+ * Return: a negative code.
+ */
+int http1_refusal_code(guint status);
+
 /**
  * http1_server_create - listen
  * @loop: the loop
@@ -294,6 +312,14 @@
  */
 guint http1_server_open(const struct http1_server *server);
 
+/**
+ * http1_server_reading - requests that have begun and are not whole
+ * @server: a server
+ *
+ * Return: their number.
+ */
+guint http1_server_reading(const struct http1_server *server);
+
 /**
  * http1_server_destroy - close everything
  * @server: a server or NULL
@@ -324,15 +350,6 @@
 const struct http1_message *http1_exchange_request(
 	const struct http1_exchange *exchange);
 
-/** An answer to send. */
-struct http1_reply {
-	guint status;
-	const char *lines; /* whole header lines, each ended by CRLF; or NULL */
-	const void *body;
-	gsize length;
-	bool close; /* close the connection afterwards */
-};
-
 /**
  * http1_exchange_reply - answer
  * @exchange: an exchange not yet replied to; not to be used afterwards
@@ -348,6 +365,7 @@
 	HTTP1_NOT_CONNECTED, /* no connection came about */
 	HTTP1_CLOSED, /* closed or reset before a byte of the answer */
 	HTTP1_BROKEN, /* closed, reset or spoiled inside the answer */
+	HTTP1_OVERSIZE, /* the answer is over a bound */
 };
 
 struct http1_call;
--- a/include/cuminsail/operator.h
+++ b/include/cuminsail/operator.h
@@ -8,6 +8,7 @@
 
 #include "cuminsail/config.h"
 #include "cuminsail/counters.h"
+#include "cuminsail/http1.h"
 
 struct operator_server;
 
@@ -31,6 +32,7 @@
 
 /**
  * operator_server_create - listen
+ * @loop: the loop
  * @at: address
  * @counters: what /metrics prints
  * @hooks: where the pages come from; copied
@@ -39,8 +41,9 @@
  * Return: a new server, or NULL with @why set.
  */
 struct operator_server *operator_server_create(
-	const struct settings_address *at, struct cs_counters *counters,
-	const struct operator_hooks *hooks, char **why);
+	struct http1_loop *loop, const struct settings_address *at,
+	struct cs_counters *counters, const struct operator_hooks *hooks,
+	char **why);
 
 /**
  * operator_server_destroy - close it
--- a/include/cuminsail/platform.h
+++ b/include/cuminsail/platform.h
@@ -12,6 +12,7 @@
 #include "cuminsail/clock.h"
 #include "cuminsail/config.h"
 #include "cuminsail/counters.h"
+#include "cuminsail/http1.h"
 
 struct platform;
 
@@ -28,14 +29,14 @@
 
 /**
  * platform_create - begin to watch
- * @clock: the clock
+ * @loop: the loop
  * @settings: where the platform or the directory is; must outlive it
  * @counters: where to count
  * @hooks: what to do; copied
  *
  * Return: a new watcher, owned by the caller.
  */
-struct platform *platform_create(struct cs_clock *clock,
+struct platform *platform_create(struct http1_loop *loop,
 				 const struct settings *settings,
 				 struct cs_counters *counters,
 				 const struct platform_hooks *hooks);
--- a/include/cuminsail/upstream.h
+++ b/include/cuminsail/upstream.h
@@ -9,7 +9,7 @@
 #ifndef CUMINSAIL_UPSTREAM_H
 #define CUMINSAIL_UPSTREAM_H
 
-#include "cuminsail/clock.h"
+#include "cuminsail/http1.h"
 #include "cuminsail/policy_orders.h"
 
 struct upstream_client;
@@ -27,12 +27,12 @@
 
 /**
  * upstream_client_create - a client
- * @clock: the clock that deadlines are on
+ * @loop: the loop, with the clock that deadlines are on
  * @answer_max: longest body of an answer, in bytes
  *
  * Return: a new client, owned by the caller.
  */
-struct upstream_client *upstream_client_create(struct cs_clock *clock,
+struct upstream_client *upstream_client_create(struct http1_loop *loop,
 					       gint64 answer_max);
 
 /**
--- a/src/libconfig/config.c
+++ b/src/libconfig/config.c
@@ -1,6 +1,7 @@
 /* The typed configuration and its checks. */
 #include "cuminsail/config.h"
 
+#include "cuminsail/endpoint.h"
 #include "cuminsail/error.h"
 
 #include <gio/gio.h>
@@ -8,7 +9,6 @@
 
 #define MS_MAX	  600000
 #define COUNT_MAX 100000
-#define PORT_MAX  65535
 
 #define AT(type, member) offsetof(struct type, member)
 
@@ -159,19 +159,11 @@
 
 int config_check_endpoint(const char *where, const char *text, char **why)
 {
-	const char *colon = strrchr(text, ':');
-	g_autofree char *host = NULL;
-	g_autoptr(GInetAddress) inet = NULL;
-	guint64 port = 0;
-
-	if (colon) {
-		host = g_strndup(text, (gsize)(colon - text));
-		inet = g_inet_address_new_from_string(host);
-	}
-	if (inet &&
-	    g_ascii_string_to_unsigned(colon + 1, 10, 1, PORT_MAX, &port, NULL))
+	struct sockaddr_in at;
+
+	if (!cs_endpoint_parse(text, &at))
 		return 0;
-	cs_why(why, "%s: \"%s\" is not IP:port", where, text);
+	cs_why(why, "%s: \"%s\" is not an IPv4 number and port", where, text);
 	return CS_E_RANGE;
 }
 
--- a/src/libconfig/settings.c
+++ b/src/libconfig/settings.c
@@ -1,6 +1,7 @@
 /* The settings of one daemon. */
 #include "cuminsail/config.h"
 
+#include "cuminsail/endpoint.h"
 #include "cuminsail/error.h"
 
 #include <gio/gio.h>
@@ -75,15 +76,23 @@
 	{"port", CS_FIELD_INT, AT(settings_address, port), true, 1, PORT_MAX},
 };
 
+int settings_address_socket(const struct settings_address *at,
+			    struct sockaddr_in *socket)
+{
+	g_autofree char *text =
+		g_strdup_printf("%s:%" G_GINT64_FORMAT, at->address, at->port);
+
+	return cs_endpoint_parse(text, socket);
+}
+
 static int check_address(const struct settings_address *at, const char *path,
 			 char **why)
 {
-	g_autoptr(GInetAddress) inet =
-		g_inet_address_new_from_string(at->address);
+	struct sockaddr_in socket;
 
-	if (inet)
+	if (!settings_address_socket(at, &socket))
 		return 0;
-	cs_why(why, "%s.address: %s is not an IP number", path, at->address);
+	cs_why(why, "%s.address: %s is not an IPv4 number", path, at->address);
 	return CS_E_RANGE;
 }
 
--- a/src/libengine/engine.c
+++ b/src/libengine/engine.c
@@ -255,11 +255,12 @@
 	if (!engine->links)
 		return false;
 	engine->caller = caller_server_create(
-		engine->clock, settings, engine->counters, &caller_hooks, why);
+		engine->loop, settings, engine->counters, &caller_hooks, why);
 	if (!engine->caller)
 		return false;
-	engine->operators = operator_server_create(
-		&settings->operators, engine->counters, &operator_hooks, why);
+	engine->operators =
+		operator_server_create(engine->loop, &settings->operators,
+				       engine->counters, &operator_hooks, why);
 	return engine->operators;
 }
 
@@ -272,7 +273,7 @@
 					    engine->counters, g_random_int());
 	engine->members = policy_members_create(SUSPECT_US);
 	engine->upstreams =
-		upstream_client_create(engine->clock, settings->answer_max);
+		upstream_client_create(engine->loop, settings->answer_max);
 	engine->history = history_create(settings->history);
 	engine->pushed =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -293,6 +294,12 @@
 						engine_offer_list,
 						engine_list_same, engine};
 
+	engine->loop = http1_loop_create(clock);
+	if (!engine->loop) {
+		cs_why(why, "no epoll descriptor");
+		g_free(engine);
+		return NULL;
+	}
 	engine->clock = clock;
 	engine->settings = settings;
 	engine->stopped = stopped;
@@ -303,8 +310,8 @@
 		return NULL;
 	}
 	engine->orders = create_orders(engine);
-	engine->platform = platform_create(clock, settings, engine->counters,
-					   &platform_hooks);
+	engine->platform = platform_create(engine->loop, settings,
+					   engine->counters, &platform_hooks);
 	cs_timer_arm(clock, &engine->beat, cs_clock_now(clock) + BEAT_US);
 	cs_log(LOG_NOTICE, "started", "instance", settings->instance, "zone",
 	       settings->zone, NULL);
@@ -318,15 +325,13 @@
 	cs_timer_disarm(engine->clock, &engine->beat);
 	cs_timer_disarm(engine->clock, &engine->stop);
 	platform_destroy(engine->platform);
+	/* Drops what callers still wait for. */
+	caller_server_destroy(engine->caller);
 	while (!TAILQ_EMPTY(&engine->queries))
 		engine_drop_query(TAILQ_FIRST(&engine->queries));
 	engine_free_orders(engine);
-	caller_server_destroy(engine->caller);
 	operator_server_destroy(engine->operators);
 	peer_links_destroy(engine->links);
-	/* Cancelled calls are freed by their last callbacks. */
-	while (g_main_context_iteration(NULL, FALSE))
-		continue;
 	upstream_client_destroy(engine->upstreams);
 	policy_orders_destroy(engine->orders);
 	policy_members_destroy(engine->members);
@@ -334,6 +339,7 @@
 	policy_revision_clear(&engine->config_revision);
 	history_destroy(engine->history);
 	g_hash_table_unref(engine->pushed);
+	http1_loop_destroy(engine->loop);
 	cs_counters_destroy(engine->counters);
 	g_free(engine->config_text);
 	g_free(engine->list_text);
--- a/src/libengine/internal.h
+++ b/src/libengine/internal.h
@@ -26,6 +26,7 @@
 struct history;
 
 struct engine {
+	struct http1_loop *loop;
 	struct cs_clock *clock;
 	const struct settings *settings;
 	struct cs_counters *counters;
--- a/src/libforward/engine.c
+++ b/src/libforward/engine.c
@@ -93,12 +93,10 @@
 		forward_job_abandon(job);
 }
 
-static void on_refused(guint status, void *user)
+static void on_refused(struct http1_reply *reply, void *user)
 {
 	struct forward_engine *engine = user;
-	int code = status == 408   ? CS_E_SLOW
-		   : status == 400 ? CS_E_HEADER
-				   : CS_E_TOO_LARGE;
+	int code = http1_refusal_code(reply->status);
 
 	cs_counters_refuse(engine->counters, code);
 	cs_log(LOG_NOTICE, "refused", "reason", cs_error_name(code), NULL);
--- a/src/libhttp/client.c
+++ b/src/libhttp/client.c
@@ -39,20 +39,24 @@
 	http1_loop_defer(call->loop, free_call, call);
 }
 
-static void end(struct http1_call *call)
+static void end_as(struct http1_call *call, enum http1_failure why)
 {
-	enum http1_failure why = HTTP1_CLOSED;
-
 	if (call->dead)
 		return;
-	if (!call->connected)
-		why = HTTP1_NOT_CONNECTED;
-	else if (http1_reader_started(call->reader))
-		why = HTTP1_BROKEN;
 	http1_call_close(call);
 	call->hooks.ended(call, why, call->hooks.user);
 }
 
+static void end(struct http1_call *call)
+{
+	if (!call->connected)
+		end_as(call, HTTP1_NOT_CONNECTED);
+	else if (http1_reader_started(call->reader))
+		end_as(call, HTTP1_BROKEN);
+	else
+		end_as(call, HTTP1_CLOSED);
+}
+
 /* Passes a complete answer on. Return: whether the connection goes on. */
 static bool give_answer(struct http1_call *call)
 {
@@ -90,7 +94,8 @@
 		if (state == HTTP1_MORE)
 			return;
 		if (state != HTTP1_COMPLETE) {
-			end(call);
+			end_as(call, state == HTTP1_BAD ? HTTP1_BROKEN
+							: HTTP1_OVERSIZE);
 			return;
 		}
 		bytes += used;
--- a/src/libhttp/server.c
+++ b/src/libhttp/server.c
@@ -120,13 +120,25 @@
 	arm(exchange, exchange->server->limits->idle_us);
 }
 
+int http1_refusal_code(guint status)
+{
+	switch (status) {
+	case 408:
+		return CS_E_SLOW;
+	case 400:
+		return CS_E_HEADER;
+	default:
+		return CS_E_TOO_LARGE;
+	}
+}
+
 static void refuse(struct http1_exchange *exchange, guint status)
 {
 	struct http1_server *server = exchange->server;
 	struct http1_reply reply = {.status = status, .close = true};
 
 	if (server->hooks.refused)
-		server->hooks.refused(status, server->hooks.user);
+		server->hooks.refused(&reply, server->hooks.user);
 	set_state(exchange, EXCHANGE_WORKING);
 	http1_exchange_reply(exchange, &reply);
 }
@@ -446,6 +458,17 @@
 	return server->open;
 }
 
+guint http1_server_reading(const struct http1_server *server)
+{
+	const struct http1_exchange *exchange;
+	guint n = 0;
+
+	TAILQ_FOREACH (exchange, &server->exchanges, link)
+		n += exchange->state == EXCHANGE_READING &&
+		     http1_reader_started(exchange->reader);
+	return n;
+}
+
 void http1_server_destroy(struct http1_server *server)
 {
 	if (!server)
@@ -481,7 +504,9 @@
 		REASON(200, "OK")
 		REASON(400, "Bad Request")
 		REASON(404, "Not Found")
+		REASON(405, "Method Not Allowed")
 		REASON(408, "Request Timeout")
+		REASON(409, "Conflict")
 		REASON(413, "Payload Too Large")
 		REASON(429, "Too Many Requests")
 		REASON(431, "Request Header Fields Too Large")
--- a/src/liboperator/server.c
+++ b/src/liboperator/server.c
@@ -3,108 +3,148 @@
 
 #include "cuminsail/error.h"
 
-#include <libsoup/soup.h>
 #include <string.h>
 
+#define TYPE_JSON    "Content-Type: application/json\r\n"
+#define TYPE_TEXT    "Content-Type: text/plain\r\n"
+#define TYPE_METRICS "Content-Type: text/plain; version=0.0.4\r\n"
+
+/* Pages are asked for by a path; a few people and programs ask. */
+#define HEAD_BYTES	16384
+#define BODY_BYTES	65536
+#define HEAD_US		(5 * CS_US_PER_S)
+#define IDLE_US		(75 * CS_US_PER_S)
+#define CONNECTIONS_MAX 1000
+
 struct operator_server {
 	struct cs_counters *counters;
 	struct operator_hooks hooks;
-	SoupServer *soup;
+	struct http1_server *http;
+};
+
+static const struct http1_server_limits limits = {
+	.message = {HEAD_BYTES, BODY_BYTES},
+	.head_us = HEAD_US,
+	.idle_us = IDLE_US,
+	.connections = CONNECTIONS_MAX,
 };
 
-static void reply_text(SoupServerMessage *message, guint status,
-		       const char *type, char *text)
+static void reply_text(struct http1_exchange *exchange, guint status,
+		       const char *type, const char *text)
 {
-	soup_server_message_set_status(message, status, NULL);
-	soup_server_message_set_response(message, type, SOUP_MEMORY_TAKE, text,
-					 strlen(text));
+	struct http1_reply reply = {.status = status,
+				    .lines = type,
+				    .body = text,
+				    .length = strlen(text)};
+
+	http1_exchange_reply(exchange, &reply);
 }
 
-static void reply_error(SoupServerMessage *message, int code)
+static void reply_json(struct http1_exchange *exchange, guint status,
+		       json_t *body)
 {
-	json_t *body =
-		json_pack("{s:{s:i,s:s,s:s}}", "error", "code", code, "name",
-			  cs_error_name(code), "text", cs_error_text(code));
+	g_autofree char *text = cs_json_print(body);
 
-	reply_text(message, cs_error_http(code), "application/json",
-		   cs_json_print(body));
 	json_decref(body);
+	reply_text(exchange, status, TYPE_JSON, text);
+}
+
+static void reply_error(struct http1_exchange *exchange, int code)
+{
+	reply_json(exchange, cs_error_http(code),
+		   json_pack("{s:{s:i,s:s,s:s}}", "error", "code", code, "name",
+			     cs_error_name(code), "text", cs_error_text(code)));
 }
 
 static void reply_page(struct operator_server *server,
-		       SoupServerMessage *message, enum operator_page page,
+		       struct http1_exchange *exchange, enum operator_page page,
 		       const char *name)
 {
 	json_t *body = server->hooks.read(page, name, server->hooks.user);
 
-	if (!body) {
-		reply_error(message, CS_E_PATH);
-		return;
-	}
-	reply_text(message, SOUP_STATUS_OK, "application/json",
-		   cs_json_print(body));
-	json_decref(body);
+	if (body)
+		reply_json(exchange, 200, body);
+	else
+		reply_error(exchange, CS_E_PATH);
 }
 
 static void reply_ready(struct operator_server *server,
-			SoupServerMessage *message)
+			struct http1_exchange *exchange)
 {
 	bool ready = server->hooks.ready(server->hooks.user);
 
-	reply_text(message,
-		   ready ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE,
-		   "text/plain", g_strdup(ready ? "ready\n" : "not ready\n"));
+	reply_text(exchange, ready ? 200 : 503, TYPE_TEXT,
+		   ready ? "ready\n" : "not ready\n");
+}
+
+static void reply_metrics(struct operator_server *server,
+			  struct http1_exchange *exchange)
+{
+	g_autofree char *text = cs_counters_print(server->counters);
+
+	reply_text(exchange, 200, TYPE_METRICS, text);
 }
 
 #define WHY_PREFIX "/v1/why/"
 
-static void on_request(SoupServer *soup, SoupServerMessage *message,
-		       const char *path, GHashTable *query, gpointer user)
+static void route(struct operator_server *server,
+		  struct http1_exchange *exchange, const char *path)
 {
-	struct operator_server *server = user;
-
-	if (strcmp(soup_server_message_get_method(message), "GET") != 0)
-		reply_error(message, CS_E_METHOD);
-	else if (!strcmp(path, "/live"))
-		reply_text(message, SOUP_STATUS_OK, "text/plain",
-			   g_strdup("live\n"));
+	if (!strcmp(path, "/live"))
+		reply_text(exchange, 200, TYPE_TEXT, "live\n");
 	else if (!strcmp(path, "/ready"))
-		reply_ready(server, message);
+		reply_ready(server, exchange);
 	else if (!strcmp(path, "/metrics"))
-		reply_text(message, SOUP_STATUS_OK, "text/plain; version=0.0.4",
-			   cs_counters_print(server->counters));
+		reply_metrics(server, exchange);
 	else if (!strcmp(path, "/v1/status"))
-		reply_page(server, message, OPERATOR_STATUS, NULL);
+		reply_page(server, exchange, OPERATOR_STATUS, NULL);
 	else if (!strcmp(path, "/v1/upstreams"))
-		reply_page(server, message, OPERATOR_UPSTREAMS, NULL);
+		reply_page(server, exchange, OPERATOR_UPSTREAMS, NULL);
 	else if (!strcmp(path, "/v1/zones"))
-		reply_page(server, message, OPERATOR_ZONES, NULL);
+		reply_page(server, exchange, OPERATOR_ZONES, NULL);
 	else if (!strcmp(path, "/v1/config"))
-		reply_page(server, message, OPERATOR_CONFIG, NULL);
+		reply_page(server, exchange, OPERATOR_CONFIG, NULL);
 	else if (g_str_has_prefix(path, WHY_PREFIX))
-		reply_page(server, message, OPERATOR_WHY,
+		reply_page(server, exchange, OPERATOR_WHY,
 			   path + strlen(WHY_PREFIX));
 	else
-		reply_error(message, CS_E_PATH);
+		reply_error(exchange, CS_E_PATH);
+}
+
+static void on_request(struct http1_exchange *exchange,
+		       const struct http1_message *request, void *user)
+{
+	g_autofree char *path = g_strndup(request->target->str,
+					  strcspn(request->target->str, "?"));
+
+	if (strcmp(request->method, "GET") != 0)
+		reply_error(exchange, CS_E_METHOD);
+	else
+		route(user, exchange, path);
+}
+
+static void on_gone(struct http1_exchange *exchange, void *user)
+{
 }
 
 struct operator_server *operator_server_create(
-	const struct settings_address *at, struct cs_counters *counters,
-	const struct operator_hooks *hooks, char **why)
+	struct http1_loop *loop, const struct settings_address *at,
+	struct cs_counters *counters, const struct operator_hooks *hooks,
+	char **why)
 {
 	struct operator_server *server = g_new0(struct operator_server, 1);
-	g_autoptr(GSocketAddress) address =
-		g_inet_socket_address_new_from_string(at->address,
-						      (guint)at->port);
-	g_autoptr(GError) error = NULL;
+	struct http1_server_hooks http = {on_request, on_gone, NULL, server};
+	struct sockaddr_in socket;
 
 	server->counters = counters;
 	server->hooks = *hooks;
-	server->soup = soup_server_new("server-header", "cuminsail", NULL);
-	soup_server_add_handler(server->soup, NULL, on_request, server, NULL);
-	if (soup_server_listen(server->soup, address, 0, &error))
+	if (!settings_address_socket(at, &socket))
+		server->http =
+			http1_server_create(loop, &socket, &limits, &http);
+	if (server->http)
 		return server;
-	cs_why(why, "operators: %s", error->message);
+	cs_why(why, "operators: cannot listen at %s:%" G_GINT64_FORMAT,
+	       at->address, at->port);
 	operator_server_destroy(server);
 	return NULL;
 }
@@ -113,7 +153,6 @@
 {
 	if (!server)
 		return;
-	soup_server_disconnect(server->soup);
-	g_object_unref(server->soup);
+	http1_server_destroy(server->http);
 	g_free(server);
 }
--- a/src/libplatform/platform.c
+++ b/src/libplatform/platform.c
@@ -4,7 +4,6 @@
 #include "cuminsail/error.h"
 #include "cuminsail/log.h"
 
-#include <libsoup/soup.h>
 #include <string.h>
 #include <sys/stat.h>
 
@@ -24,6 +23,7 @@
 #define LOOK_MS 500
 
 /* JSON escaping may double a document's size on the wire. */
+#define HEAD_MAX 65536
 #define BODY_MAX (2 * CONFIG_DOCUMENT_MAX + 65536)
 
 enum watch_kind {
@@ -39,15 +39,18 @@
 	gint64 revision;
 	gint64 wait_ms;
 	gint64 asked_us;
-	GCancellable *call; /* while one is open */
+	struct http1_call *call; /* the connection, if there is one */
+	bool asking;
 };
 
 struct platform {
+	struct http1_loop *loop;
 	struct cs_clock *clock;
 	const struct settings *settings;
 	struct cs_counters *counters;
 	struct platform_hooks hooks;
-	SoupSession *session;
+	struct sockaddr_in at;
+	struct http1_limits limits;
 	struct watch config;
 	struct watch list;
 };
@@ -113,12 +116,10 @@
 	return false;
 }
 
-static bool take(struct watch *watch, GBytes *bytes)
+static bool take(struct watch *watch, const char *text, gsize size)
 {
 	const struct platform_hooks *hooks = &watch->platform->hooks;
 	g_autofree char *why = NULL;
-	gsize size;
-	const char *text = g_bytes_get_data(bytes, &size);
 	json_t *document = cs_json_parse(text, size, &why);
 	bool taken = false;
 
@@ -140,51 +141,87 @@
 
 /* ---- the platform's calls ---- */
 
-static void on_answer(GObject *object, GAsyncResult *result, gpointer user)
+static void hang_up(struct watch *watch)
+{
+	watch->asking = false;
+	if (watch->call)
+		http1_call_close(watch->call);
+	watch->call = NULL;
+}
+
+static void fail(struct watch *watch, const char *why)
+{
+	note_failure(watch, why);
+	plan(watch, jitter(RETRY_MS));
+}
+
+static bool on_answer(struct http1_call *call,
+		      const struct http1_message *answer, void *user)
 {
-	g_autoptr(GError) error = NULL;
-	g_autoptr(GBytes) bytes = soup_session_send_and_read_finish(
-		SOUP_SESSION(object), result, &error);
-	SoupMessage *message = soup_session_get_async_result_message(
-		SOUP_SESSION(object), result);
-	guint status = soup_message_get_status(message);
 	struct watch *watch = user;
-	struct platform *platform;
+	const struct platform_hooks *hooks = &watch->platform->hooks;
+
+	watch->asking = false;
+	if (!http1_call_idle(call))
+		hang_up(watch);
+	if (answer->status == 200) {
+		bool taken = take(watch, (const char *)answer->body->data,
+				  answer->body->len);
 
-	platform = watch->platform;
-	g_clear_object(&watch->call);
-	if (bytes && status == SOUP_STATUS_OK &&
-	    g_bytes_get_size(bytes) <= BODY_MAX) {
-		plan(watch, take(watch, bytes) ? 0 : jitter(REFUSED_MS));
-	} else if (bytes && status == SOUP_STATUS_NO_CONTENT) {
+		plan(watch, taken ? 0 : jitter(REFUSED_MS));
+	} else if (answer->status == 204) {
 		if (watch->kind == WATCH_LIST)
-			platform->hooks.list_same(watch->asked_us,
-						  platform->hooks.user);
+			hooks->list_same(watch->asked_us, hooks->user);
 		plan(watch, 0);
 	} else {
-		note_failure(watch, error ? error->message : "bad status");
-		plan(watch, jitter(RETRY_MS));
+		fail(watch, "bad status");
 	}
+	return true;
+}
+
+static void on_ended(struct http1_call *call, enum http1_failure why,
+		     void *user)
+{
+	struct watch *watch = user;
+	bool asking = watch->asking;
+
+	watch->call = NULL;
+	watch->asking = false;
+	if (asking)
+		fail(watch, why == HTTP1_NOT_CONNECTED ? "not connected"
+						       : "connection lost");
+}
+
+static void on_connected(struct http1_call *call, void *user)
+{
 }
 
 static void call_platform(struct watch *watch)
 {
 	struct platform *platform = watch->platform;
-	const struct settings_address *at = &platform->settings->platform;
-	g_autofree char *uri = g_strdup_printf(
-		"http://%s:%" G_GINT64_FORMAT "/v1/%s?after=%" G_GINT64_FORMAT
-		"&wait_ms=%" G_GINT64_FORMAT,
-		at->address, at->port, kind_name(watch->kind), watch->revision,
-		watch->wait_ms);
-	g_autoptr(SoupMessage) message = soup_message_new("GET", uri);
+	struct http1_call_hooks hooks = {on_connected, on_answer, on_ended,
+					 watch};
+	GString *head;
 
-	watch->asked_us = cs_clock_now(platform->clock);
-	watch->call = g_cancellable_new();
 	cs_counters_add(platform->counters, CS_N_PLATFORM_CALLS, 1);
-	soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
-	soup_session_send_and_read_async(platform->session, message,
-					 G_PRIORITY_DEFAULT, watch->call,
-					 on_answer, watch);
+	if (!watch->call)
+		watch->call = http1_call_open(platform->loop, &platform->at,
+					      &platform->limits, &hooks);
+	if (!watch->call) {
+		fail(watch, "no socket");
+		return;
+	}
+	head = g_string_new(NULL);
+	g_string_printf(head,
+			"GET /v1/%s?after=%" G_GINT64_FORMAT
+			"&wait_ms=%" G_GINT64_FORMAT " HTTP/1.1\r\n"
+			"Host: platform\r\nUser-Agent: cuminsail\r\n\r\n",
+			kind_name(watch->kind), watch->revision,
+			watch->wait_ms);
+	watch->asked_us = cs_clock_now(platform->clock);
+	watch->asking = true;
+	http1_call_send(watch->call, head, NULL, 0, false);
+	g_string_free(head, TRUE);
 	plan(watch, watch->wait_ms + GRACE_MS);
 }
 
@@ -239,7 +276,6 @@
 						 "list.json", NULL);
 	g_autofree char *text = NULL;
 	g_autoptr(GError) error = NULL;
-	g_autoptr(GBytes) bytes = NULL;
 	gsize length;
 
 	watch->asked_us = cs_clock_now(platform->clock);
@@ -247,8 +283,7 @@
 		note_failure(watch, error->message);
 		return;
 	}
-	bytes = g_bytes_new(text, length);
-	take(watch, bytes);
+	take(watch, text, length);
 }
 
 static void look(struct watch *watch)
@@ -278,10 +313,12 @@
 {
 	struct watch *watch = (struct watch *)timer;
 
-	if (watch->call)
-		g_cancellable_cancel(watch->call);
-	else
+	if (watch->asking) {
+		hang_up(watch);
+		fail(watch, "timeout");
+	} else {
 		ask(watch);
+	}
 }
 
 static void init_watch(struct platform *platform, struct watch *watch,
@@ -294,22 +331,23 @@
 	plan(watch, 0);
 }
 
-struct platform *platform_create(struct cs_clock *clock,
+struct platform *platform_create(struct http1_loop *loop,
 				 const struct settings *settings,
 				 struct cs_counters *counters,
 				 const struct platform_hooks *hooks)
 {
 	struct platform *platform = g_new0(struct platform, 1);
 
-	platform->clock = clock;
+	platform->loop = loop;
+	platform->clock = http1_loop_clock(loop);
 	platform->settings = settings;
 	platform->counters = counters;
 	platform->hooks = *hooks;
-	platform->session = soup_session_new_with_options(
-		"timeout", 0, "proxy-resolver", NULL, "user-agent", "cuminsail",
-		NULL);
-	soup_session_remove_feature_by_type(platform->session,
-					    SOUP_TYPE_CONTENT_DECODER);
+	platform->limits = (struct http1_limits){HEAD_MAX, BODY_MAX};
+	/* Checked with the settings; a directory has no address. */
+	if (!settings->directory)
+		(void)settings_address_socket(&settings->platform,
+					      &platform->at);
 	init_watch(platform, &platform->config, WATCH_CONFIG);
 	init_watch(platform, &platform->list, WATCH_LIST);
 	return platform;
@@ -330,8 +368,7 @@
 static void stop_watch(struct watch *watch)
 {
 	cs_timer_disarm(watch->platform->clock, &watch->timer);
-	if (watch->call)
-		g_cancellable_cancel(watch->call);
+	hang_up(watch);
 }
 
 void platform_destroy(struct platform *platform)
@@ -340,11 +377,5 @@
 		return;
 	stop_watch(&platform->config);
 	stop_watch(&platform->list);
-	/* The last callbacks run before the struct that they use is freed. */
-	while (platform->config.call || platform->list.call)
-		g_main_context_iteration(NULL, TRUE);
-	cs_timer_disarm(platform->clock, &platform->config.timer);
-	cs_timer_disarm(platform->clock, &platform->list.timer);
-	g_object_unref(platform->session);
 	g_free(platform);
 }
--- a/src/libupstream/client.c
+++ b/src/libupstream/client.c
@@ -1,7 +1,9 @@
 /* One POST for each attempt, classified by what is known of its run. */
 #include "cuminsail/upstream.h"
 
-#include <libsoup/soup.h>
+#include "cuminsail/endpoint.h"
+#include "cuminsail/log.h"
+
 #include <string.h>
 
 #define HEADER_NOT_RUN	   "Cuminsail-Not-Run"
@@ -10,44 +12,98 @@
 #define HEADER_STATE	   "Cuminsail-State"
 #define HEADER_INCARNATION "Cuminsail-Incarnation"
 
-#define CONTENT_JSON "application/json"
+#define STATUS_CONFLICT	   409
+#define STATUS_UNAVAILABLE 503
+
+#define HEAD_MAX 65536
 
-/* Bytes read from an answer at a time. */
-#define READ_BYTES 65536
+/* Connections left unused this long are closed: below the time for which common
+ * servers keep them. */
+#define IDLE_US (60 * CS_US_PER_S)
 
-/* Connections left unused this long are closed, in seconds. */
-#define IDLE_S 60
+struct upstream_call;
+
+/* A connection, idle or carrying one call. */
+struct connection {
+	TAILQ_ENTRY(connection) link; /* while idle */
+	struct pool *pool;
+	struct http1_call *http;
+	struct upstream_call *call; /* NULL while idle */
+	struct cs_timer idle;
+};
+
+/* The connections of one service to one address. */
+struct pool {
+	struct upstream_client *client;
+	struct sockaddr_in at;
+	gint64 connections_max;
+	guint connections;
+	TAILQ_HEAD(, connection) idle; /* the latest used first */
+	TAILQ_HEAD(, upstream_call) queued; /* calls without a connection */
+};
 
 struct upstream_client {
+	struct http1_loop *loop;
 	struct cs_clock *clock;
-	gint64 answer_max;
-	GHashTable *sessions; /* "service/connections" to SoupSession */
+	struct http1_limits limits;
+	GHashTable *pools; /* "service/address" to struct pool */
 };
 
 struct upstream_call {
-	struct upstream_client *client;
-	SoupMessage *message;
-	GCancellable *cancellable;
-	GInputStream *stream;
-	GByteArray *body;
+	TAILQ_ENTRY(upstream_call) link; /* while queued */
+	struct pool *pool;
+	struct connection *connection; /* NULL unless sent */
+	enum {
+		CALL_QUEUED, /* waits for a connection */
+		CALL_SENT,
+		CALL_FAILED, /* no socket could be had */
+	} state;
+	struct cs_timer failure; /* tells the owner from the loop */
+	GString *head;
+	char *text; /* body of the request */
 	char *identity; /* "REQUEST-ID/ATTEMPT" */
 	bool is_order;
-	bool sent; /* the request may have reached the upstream */
-	bool closed;
 	void (*done)(struct upstream_call *call, struct upstream_reply *reply,
 		     void *user);
 	void *user;
 };
 
-struct upstream_client *upstream_client_create(struct cs_clock *clock,
+/* ---- pools ---- */
+
+static void close_connection(struct connection *connection)
+{
+	struct pool *pool = connection->pool;
+
+	if (!connection->call)
+		TAILQ_REMOVE(&pool->idle, connection, link);
+	cs_timer_disarm(pool->client->clock, &connection->idle);
+	if (connection->http)
+		http1_call_close(connection->http);
+	pool->connections--;
+	g_free(connection);
+}
+
+static void free_pool(void *data)
+{
+	struct pool *pool = data;
+
+	while (!TAILQ_EMPTY(&pool->idle))
+		/* The analyzer does not follow the removal from the list. */
+		/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
+		close_connection(TAILQ_FIRST(&pool->idle));
+	g_free(pool);
+}
+
+struct upstream_client *upstream_client_create(struct http1_loop *loop,
 					       gint64 answer_max)
 {
 	struct upstream_client *client = g_new0(struct upstream_client, 1);
 
-	client->clock = clock;
-	client->answer_max = answer_max;
-	client->sessions = g_hash_table_new_full(g_str_hash, g_str_equal,
-						 g_free, g_object_unref);
+	client->loop = loop;
+	client->clock = http1_loop_clock(loop);
+	client->limits = (struct http1_limits){HEAD_MAX, (gsize)answer_max};
+	client->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      free_pool);
 	return client;
 }
 
@@ -55,42 +111,36 @@
 {
 	if (!client)
 		return;
-	g_hash_table_unref(client->sessions);
+	g_hash_table_unref(client->pools);
 	g_free(client);
 }
 
-static SoupSession *create_session(guint connections)
-{
-	SoupSession *session = soup_session_new_with_options(
-		"max-conns", G_MAXINT, "max-conns-per-host", (int)connections,
-		"timeout", 0, "idle-timeout", IDLE_S, "proxy-resolver", NULL,
-		"user-agent", "cuminsail", NULL);
-
-	soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
-	return session;
-}
-
-/* One session for each service and cap: a changed cap cuts no open call. */
-static SoupSession *need_session(struct upstream_client *client,
-				 const struct upstream_request *request)
+static struct pool *need_pool(struct upstream_client *client,
+			      const struct upstream_request *request)
 {
-	g_autofree char *key = g_strdup_printf(
-		"%s/%" G_GINT64_FORMAT, request->service, request->connections);
-	SoupSession *session = g_hash_table_lookup(client->sessions, key);
-
-	if (session)
-		return session;
-	session = create_session((guint)request->connections);
-	g_hash_table_insert(client->sessions, g_steal_pointer(&key), session);
-	return session;
+	g_autofree char *key =
+		g_strconcat(request->service, "/", request->address, NULL);
+	struct pool *pool = g_hash_table_lookup(client->pools, key);
+
+	if (!pool) {
+		pool = g_new0(struct pool, 1);
+		pool->client = client;
+		TAILQ_INIT(&pool->idle);
+		TAILQ_INIT(&pool->queued);
+		/* The list's check let only such addresses through. */
+		if (cs_endpoint_parse(request->address, &pool->at))
+			cs_log(LOG_ERR, "upstream-address-invalid", "address",
+			       request->address, NULL);
+		g_hash_table_insert(client->pools, g_steal_pointer(&key), pool);
+	}
+	pool->connections_max = request->connections;
+	return pool;
 }
 
 static void free_call(struct upstream_call *call)
 {
-	g_clear_object(&call->message);
-	g_clear_object(&call->cancellable);
-	g_clear_object(&call->stream);
-	g_byte_array_unref(call->body);
+	g_string_free(call->head, TRUE);
+	g_free(call->text);
 	g_free(call->identity);
 	g_free(call);
 }
@@ -98,28 +148,26 @@
 /* ---- what an answer proves ---- */
 
 static bool proves_not_run(const struct upstream_call *call,
-			   SoupMessageHeaders *headers)
+			   const struct http1_message *answer)
 {
-	const char *value =
-		soup_message_headers_get_one(headers, HEADER_NOT_RUN);
+	const char *value = http1_message_get(answer, HEADER_NOT_RUN);
 
 	return value && !strcmp(value, call->identity);
 }
 
 static enum policy_result classify_refusal(const struct upstream_call *call,
-					   guint status,
-					   SoupMessageHeaders *headers)
+					   const struct http1_message *answer)
 {
-	if (!proves_not_run(call, headers))
+	if (!proves_not_run(call, answer))
 		return POLICY_LOST;
-	if (status == SOUP_STATUS_CONFLICT &&
-	    soup_message_headers_get_one(headers, HEADER_LACKS))
+	if (answer->status == STATUS_CONFLICT &&
+	    http1_message_get(answer, HEADER_LACKS))
 		return POLICY_LACKS;
-	if (status == SOUP_STATUS_CONFLICT &&
-	    soup_message_headers_get_one(headers, HEADER_MOVED))
+	if (answer->status == STATUS_CONFLICT &&
+	    http1_message_get(answer, HEADER_MOVED))
 		return POLICY_MOVED;
-	if (status == SOUP_STATUS_SERVICE_UNAVAILABLE ||
-	    status == SOUP_STATUS_CONFLICT)
+	if (answer->status == STATUS_UNAVAILABLE ||
+	    answer->status == STATUS_CONFLICT)
 		return POLICY_REFUSED;
 	return POLICY_LOST;
 }
@@ -145,10 +193,10 @@
 }
 
 static void read_answer(const struct upstream_call *call,
-			struct upstream_reply *reply)
+			const GByteArray *body, struct upstream_reply *reply)
 {
-	const char *text = (const char *)call->body->data;
-	size_t length = call->body->len;
+	const char *text = (const char *)body->data;
+	size_t length = body->len;
 
 	if (call->is_order) {
 		if (!order_answer_is_good(call, text, length))
@@ -162,119 +210,208 @@
 	reply->result = POLICY_DONE;
 }
 
-static void read_words(SoupMessageHeaders *headers,
+static void read_words(const struct http1_message *answer,
 		       struct upstream_reply *reply)
 {
-	const char *state = soup_message_headers_get_one(headers, HEADER_STATE);
+	const char *state = http1_message_get(answer, HEADER_STATE);
 
-	reply->incarnation = g_strdup(
-		soup_message_headers_get_one(headers, HEADER_INCARNATION));
+	reply->incarnation =
+		g_strdup(http1_message_get(answer, HEADER_INCARNATION));
 	reply->draining = state && !strcmp(state, "draining");
 	reply->cold = state && !strcmp(state, "cold");
 }
 
-static void finish(struct upstream_call *call, enum policy_result failure)
+/* Tells the owner; the call is gone afterwards. */
+static void finish(struct upstream_call *call, struct upstream_reply *reply)
 {
-	struct upstream_reply reply = {.result = failure};
-	guint status = soup_message_get_status(call->message);
-	SoupMessageHeaders *headers =
-		soup_message_get_response_headers(call->message);
-
-	if (status != SOUP_STATUS_NONE && call->sent)
-		read_words(headers, &reply);
-	if (failure == POLICY_DONE) {
-		if (status == SOUP_STATUS_OK) {
-			reply.result = POLICY_BAD;
-			read_answer(call, &reply);
-		} else {
-			reply.result = classify_refusal(call, status, headers);
-		}
-	}
-	call->done(call, &reply, call->user);
-	policy_part_destroy(reply.part);
-	g_free(reply.body);
-	g_free(reply.incarnation);
+	call->done(call, reply, call->user);
+	policy_part_destroy(reply->part);
+	g_free(reply->body);
+	g_free(reply->incarnation);
 	free_call(call);
 }
 
-/* ---- sending and reading ---- */
+/* ---- answers ---- */
 
-static void on_read(GObject *object, GAsyncResult *result, gpointer user);
+static void serve_queue(struct pool *pool);
 
-static void read_more(struct upstream_call *call)
+static void on_idle_end(struct cs_timer *timer)
 {
-	g_input_stream_read_bytes_async(call->stream, READ_BYTES,
-					G_PRIORITY_DEFAULT, call->cancellable,
-					on_read, call);
+	close_connection(
+		(struct connection *)((char *)timer -
+				      offsetof(struct connection, idle)));
 }
 
-static void on_read(GObject *object, GAsyncResult *result, gpointer user)
+/* The call has its answer: its connection is kept, or closed. */
+static void release(struct connection *connection)
 {
-	struct upstream_call *call = user;
-	g_autoptr(GError) error = NULL;
-	g_autoptr(GBytes) bytes = g_input_stream_read_bytes_finish(
-		G_INPUT_STREAM(object), result, &error);
-	gsize size;
-	const guint8 *data;
-
-	if (call->closed) {
-		free_call(call);
-		return;
-	}
-	if (!bytes) {
-		finish(call, POLICY_LOST);
-		return;
+	struct pool *pool = connection->pool;
+	struct cs_clock *clock = pool->client->clock;
+	bool was_order = connection->call->is_order;
+
+	if (was_order || !http1_call_idle(connection->http)) {
+		close_connection(connection);
+	} else {
+		connection->call = NULL;
+		TAILQ_INSERT_HEAD(&pool->idle, connection, link);
+		cs_timer_arm(clock, &connection->idle,
+			     cs_clock_now(clock) + IDLE_US);
 	}
-	data = g_bytes_get_data(bytes, &size);
-	if (size == 0) {
-		finish(call, POLICY_DONE);
-		return;
+	serve_queue(pool);
+}
+
+static bool on_answer(struct http1_call *http,
+		      const struct http1_message *answer, void *user)
+{
+	struct connection *connection = user;
+	struct upstream_call *call = connection->call;
+	struct upstream_reply reply = {.result = POLICY_BAD};
+
+	read_words(answer, &reply);
+	if (answer->status == 200)
+		read_answer(call, answer->body, &reply);
+	else
+		reply.result = classify_refusal(call, answer);
+	release(connection);
+	finish(call, &reply);
+	return true;
+}
+
+static enum policy_result result_of(enum http1_failure why)
+{
+	switch (why) {
+	case HTTP1_NOT_CONNECTED:
+		return POLICY_UNSENT;
+	case HTTP1_OVERSIZE:
+		return POLICY_BAD;
+	case HTTP1_CLOSED:
+	case HTTP1_BROKEN:
+		break;
 	}
-	if (call->body->len + size > (gsize)call->client->answer_max) {
-		finish(call, POLICY_BAD);
-		return;
+	return POLICY_LOST;
+}
+
+static void on_ended(struct http1_call *http, enum http1_failure why,
+		     void *user)
+{
+	struct connection *connection = user;
+	struct upstream_call *call = connection->call;
+	struct pool *pool = connection->pool;
+	struct upstream_reply reply = {.result = result_of(why)};
+
+	connection->http = NULL;
+	close_connection(connection);
+	serve_queue(pool);
+	if (call)
+		finish(call, &reply);
+}
+
+static void on_connected(struct http1_call *http, void *user)
+{
+}
+
+/* ---- sending ---- */
+
+static void on_failure(struct cs_timer *timer)
+{
+	struct upstream_call *call =
+		(struct upstream_call *)((char *)timer -
+					 offsetof(struct upstream_call,
+						  failure));
+	struct upstream_reply reply = {.result = POLICY_UNSENT};
+
+	finish(call, &reply);
+}
+
+static void fail(struct upstream_call *call)
+{
+	struct cs_clock *clock = call->pool->client->clock;
+
+	call->state = CALL_FAILED;
+	call->failure.fire = on_failure;
+	cs_timer_arm(clock, &call->failure, cs_clock_now(clock));
+}
+
+static void send_on(struct connection *connection, struct upstream_call *call)
+{
+	call->state = CALL_SENT;
+	connection->call = call;
+	call->connection = connection;
+	http1_call_send(connection->http, call->head, call->text,
+			strlen(call->text), false);
+}
+
+/* Orders never share a connection: the upstream may close a kept one just as
+ * the request arrives, and the order would be unknown. */
+static struct connection *take_idle(struct pool *pool, bool is_order)
+{
+	struct connection *connection = TAILQ_FIRST(&pool->idle);
+
+	if (!connection || is_order)
+		return NULL;
+	TAILQ_REMOVE(&pool->idle, connection, link);
+	cs_timer_disarm(pool->client->clock, &connection->idle);
+	return connection;
+}
+
+static struct connection *open_connection(struct pool *pool)
+{
+	struct upstream_client *client = pool->client;
+	struct connection *connection = g_new0(struct connection, 1);
+	struct http1_call_hooks hooks = {on_connected, on_answer, on_ended,
+					 connection};
+
+	connection->http = http1_call_open(client->loop, &pool->at,
+					   &client->limits, &hooks);
+	if (!connection->http) {
+		g_free(connection);
+		return NULL;
 	}
-	g_byte_array_append(call->body, data, (guint)size);
-	read_more(call);
+	connection->pool = pool;
+	connection->idle.fire = on_idle_end;
+	pool->connections++;
+	return connection;
 }
 
-static void on_sent(GObject *object, GAsyncResult *result, gpointer user)
+/* Return: false if there is no room, and the call waits. */
+static bool begin(struct pool *pool, struct upstream_call *call)
 {
-	struct upstream_call *call = user;
-	g_autoptr(GError) error = NULL;
-	GInputStream *stream =
-		soup_session_send_finish(SOUP_SESSION(object), result, &error);
-
-	if (call->closed) {
-		g_clear_object(&stream);
-		free_call(call);
-		return;
+	struct connection *connection = take_idle(pool, call->is_order);
+
+	if (!connection && pool->connections >= pool->connections_max) {
+		if (TAILQ_EMPTY(&pool->idle))
+			return false;
+		/* An order takes the place of an idle connection. */
+		close_connection(TAILQ_FIRST(&pool->idle));
 	}
-	call->stream = stream;
-	if (stream)
-		read_more(call);
+	if (!connection)
+		connection = open_connection(pool);
+	if (connection)
+		send_on(connection, call);
 	else
-		finish(call, call->sent ? POLICY_LOST : POLICY_UNSENT);
+		fail(call);
+	return true;
 }
 
-/* From here on bytes of the request may be on their way. */
-static void on_starting(SoupMessage *message, gpointer user)
+static void serve_queue(struct pool *pool)
 {
-	struct upstream_call *call = user;
+	struct upstream_call *call = TAILQ_FIRST(&pool->queued);
 
-	call->sent = true;
+	while (call && begin(pool, call)) {
+		TAILQ_REMOVE(&pool->queued, call, link);
+		call = TAILQ_FIRST(&pool->queued);
+	}
 }
 
 static char *print_body(const struct upstream_call *call,
 			const struct upstream_request *request)
 {
-	gint64 left_us =
-		request->deadline_us - cs_clock_now(call->client->clock);
+	gint64 now = cs_clock_now(call->pool->client->clock);
 	json_t *document = json_pack(
 		"{s:s,s:I,s:s,s:I,s:O}", "request_id", request->request_id,
 		"attempt", (json_int_t)request->attempt, "incarnation",
 		request->incarnation, "deadline_ms",
-		(json_int_t)(left_us / CS_US_PER_MS),
+		(json_int_t)((request->deadline_us - now) / CS_US_PER_MS),
 		call->is_order ? "order" : "query", request->body);
 	char *text;
 
@@ -290,25 +427,6 @@
 	return text;
 }
 
-static SoupMessage *create_message(struct upstream_call *call,
-				   const struct upstream_request *request)
-{
-	g_autofree char *uri =
-		g_strdup_printf("http://%s/v1/%s", request->address,
-				call->is_order ? "order" : "part");
-	SoupMessage *message = soup_message_new(SOUP_METHOD_POST, uri);
-	char *text = print_body(call, request);
-	g_autoptr(GBytes) bytes = g_bytes_new_take(text, strlen(text));
-
-	soup_message_set_request_body_from_bytes(message, CONTENT_JSON, bytes);
-	soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
-	/* Without either flag the library opens a connection for each POST. */
-	soup_message_add_flags(message, call->is_order
-						? SOUP_MESSAGE_NEW_CONNECTION
-						: SOUP_MESSAGE_IDEMPOTENT);
-	return message;
-}
-
 struct upstream_call *upstream_call_create(
 	struct upstream_client *client, const struct upstream_request *request,
 	void (*done)(struct upstream_call *call, struct upstream_reply *reply,
@@ -317,27 +435,41 @@
 {
 	struct upstream_call *call = g_new0(struct upstream_call, 1);
 
-	call->client = client;
+	call->pool = need_pool(client, request);
 	call->is_order = !request->shard;
 	call->identity = g_strdup_printf("%s/%" G_GINT64_FORMAT,
 					 request->request_id, request->attempt);
 	call->done = done;
 	call->user = user;
-	call->body = g_byte_array_new();
-	call->cancellable = g_cancellable_new();
-	call->message = create_message(call, request);
-	g_signal_connect(call->message, "starting", G_CALLBACK(on_starting),
-			 call);
-	soup_session_send_async(need_session(client, request), call->message,
-				G_PRIORITY_DEFAULT, call->cancellable, on_sent,
-				call);
+	call->text = print_body(call, request);
+	call->head = g_string_new(NULL);
+	g_string_printf(call->head,
+			"POST /v1/%s HTTP/1.1\r\nHost: %s\r\n"
+			"User-Agent: cuminsail\r\n"
+			"Content-Type: application/json\r\n"
+			"Content-Length: %zu\r\n\r\n",
+			call->is_order ? "order" : "part", request->address,
+			strlen(call->text));
+	if (!begin(call->pool, call))
+		TAILQ_INSERT_TAIL(&call->pool->queued, call, link);
 	return call;
 }
 
-/* The loop still holds an open call; its callback frees it. */
 void upstream_call_destroy(struct upstream_call *call)
 {
-	call->closed = true;
-	g_signal_handlers_disconnect_by_data(call->message, call);
-	g_cancellable_cancel(call->cancellable);
+	struct pool *pool = call->pool;
+
+	switch (call->state) {
+	case CALL_QUEUED:
+		TAILQ_REMOVE(&pool->queued, call, link);
+		break;
+	case CALL_SENT:
+		close_connection(call->connection);
+		break;
+	case CALL_FAILED:
+		cs_timer_disarm(pool->client->clock, &call->failure);
+		break;
+	}
+	free_call(call);
+	serve_queue(pool);
 }
--- a/test/unit/test_upstream.c
+++ b/test/unit/test_upstream.c
@@ -216,10 +216,14 @@
 	{"closed in the body", END_AFTER_REPLY,
 	 OK_HEAD PART_LENGTH "\r\n\r\n{\"request_id\":", POLICY_LOST,
 	 POLICY_LOST},
-	/* The library takes this for the end of the body. */
 	{"chunks without an end", END_AFTER_REPLY,
 	 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{\"a",
-	 POLICY_BAD, POLICY_BAD},
+	 POLICY_LOST, POLICY_LOST},
+	/* The text is whole, the body is not. */
+	{"a part in chunks without an end", END_AFTER_REPLY,
+	 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n67\r\n" PART
+	 "\r\n",
+	 POLICY_LOST, POLICY_LOST},
 	{"a body cut at the end of the connection", END_AFTER_REPLY,
 	 "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{\"request_id\":",
 	 POLICY_BAD, POLICY_BAD},
@@ -274,11 +278,12 @@
 START_TEST(each_ending_proves_what_it_proves)
 {
 	struct cs_clock *clock = cs_clock_create_manual(0);
+	struct http1_loop *loop = http1_loop_create(clock);
 
 	for (guint i = 0; i < G_N_ELEMENTS(cases); i++) {
 		for (guint order = 0; order < 2; order++) {
 			struct upstream_client *client =
-				upstream_client_create(clock, 256);
+				upstream_client_create(loop, 256);
 			struct outcome outcome;
 
 			start_server(cases[i].ending, cases[i].reply);
@@ -293,6 +298,7 @@
 			ck_assert_int_le(server.requests, 1);
 		}
 	}
+	http1_loop_destroy(loop);
 	cs_clock_destroy(clock);
 }
 END_TEST
@@ -300,7 +306,8 @@
 START_TEST(nothing_is_sent_where_nobody_listens)
 {
 	struct cs_clock *clock = cs_clock_create_manual(0);
-	struct upstream_client *client = upstream_client_create(clock, 256);
+	struct http1_loop *loop = http1_loop_create(clock);
+	struct upstream_client *client = upstream_client_create(loop, 256);
 	guint16 port;
 
 	start_server(END_AT_ONCE, "");
@@ -312,6 +319,7 @@
 		ck_assert_int_eq(outcome.result, POLICY_UNSENT);
 	}
 	upstream_client_destroy(client);
+	http1_loop_destroy(loop);
 	cs_clock_destroy(clock);
 }
 END_TEST
@@ -323,10 +331,11 @@
 START_TEST(no_request_is_sent_twice_by_the_library)
 {
 	struct cs_clock *clock = cs_clock_create_manual(0);
+	struct http1_loop *loop = http1_loop_create(clock);
 
 	for (guint order = 0; order < 2; order++) {
 		struct upstream_client *client =
-			upstream_client_create(clock, 4096);
+			upstream_client_create(loop, 4096);
 		struct outcome first;
 		struct outcome second;
 
@@ -349,6 +358,7 @@
 		ck_assert_int_eq(server.requests, 2);
 		ck_assert_int_eq(server.connections, 1);
 	}
+	http1_loop_destroy(loop);
 	cs_clock_destroy(clock);
 }
 END_TEST
@@ -356,7 +366,8 @@
 START_TEST(an_upstreams_own_words_are_heard)
 {
 	struct cs_clock *clock = cs_clock_create_manual(0);
-	struct upstream_client *client = upstream_client_create(clock, 4096);
+	struct http1_loop *loop = http1_loop_create(clock);
+	struct upstream_client *client = upstream_client_create(loop, 4096);
 	struct outcome outcome;
 
 	start_server(END_AFTER_REPLY,
@@ -369,6 +380,55 @@
 	g_free(outcome.incarnation);
 	upstream_client_destroy(client);
 	stop_server();
+	http1_loop_destroy(loop);
+	cs_clock_destroy(clock);
+}
+END_TEST
+
+/* The third of three calls waits for a connection, or is cancelled there. */
+START_TEST(calls_above_the_cap_wait_for_a_connection)
+{
+	struct cs_clock *clock = cs_clock_create_manual(0);
+	struct http1_loop *loop = http1_loop_create(clock);
+	struct upstream_client *client = upstream_client_create(loop, 4096);
+	g_autofree char *address = NULL;
+	json_t *body = json_object();
+	struct outcome outcomes[3] = {0};
+	struct upstream_call *calls[3];
+
+	start_server(END_AFTER_REPLY,
+		     "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+		     "Content-Length: " PART_LENGTH "\r\n\r\n" PART);
+	address = g_strdup_printf("127.0.0.1:%u", server.port);
+	for (guint i = 0; i < 3; i++) {
+		struct upstream_request request = {
+			.service = "s",
+			.address = address,
+			.request_id = "r",
+			.attempt = 1,
+			.incarnation = "i1",
+			.deadline_us = 1000 * MS,
+			.connections = 1,
+			.shard = "0",
+			.snapshot = "s1",
+			.body = body,
+		};
+
+		calls[i] = upstream_call_create(client, &request, on_done,
+						&outcomes[i]);
+	}
+	upstream_call_destroy(calls[1]);
+	while (!outcomes[2].done)
+		g_main_context_iteration(NULL, TRUE);
+	ck_assert(outcomes[0].done);
+	ck_assert(!outcomes[1].done);
+	ck_assert_int_eq(outcomes[0].result, POLICY_DONE);
+	ck_assert_int_eq(outcomes[2].result, POLICY_DONE);
+	json_decref(body);
+	upstream_client_destroy(client);
+	stop_server();
+	ck_assert_int_eq(server.requests, 2);
+	http1_loop_destroy(loop);
 	cs_clock_destroy(clock);
 }
 END_TEST
@@ -377,7 +437,8 @@
 START_TEST(a_cancelled_call_is_silent)
 {
 	struct cs_clock *clock = cs_clock_create_manual(0);
-	struct upstream_client *client = upstream_client_create(clock, 4096);
+	struct http1_loop *loop = http1_loop_create(clock);
+	struct upstream_client *client = upstream_client_create(loop, 4096);
 	g_autofree char *address = NULL;
 	json_t *body = json_object();
 	struct outcome outcome = {0};
@@ -401,6 +462,7 @@
 	json_decref(body);
 	upstream_client_destroy(client);
 	stop_server();
+	http1_loop_destroy(loop);
 	cs_clock_destroy(clock);
 }
 END_TEST
@@ -408,4 +470,5 @@
 UNIT_MAIN("upstream", each_ending_proves_what_it_proves,
 	  nothing_is_sent_where_nobody_listens,
 	  no_request_is_sent_twice_by_the_library,
-	  an_upstreams_own_words_are_heard, a_cancelled_call_is_silent)
+	  an_upstreams_own_words_are_heard,
+	  calls_above_the_cap_wait_for_a_connection, a_cancelled_call_is_silent)
