--- a/src/libengine/engine.c
+++ b/src/libengine/engine.c
@@ -9,46 +9,12 @@
 /* Silence after which a peer is suspect. */
 #define SUSPECT_US (2 * CS_US_PER_S)
 
-/* A beat this late means that the process slept. */
-#define ASLEEP_US (1 * CS_US_PER_S)
-
-/* Longest wait for peers after the first list; then ready without them. */
-#define HEAR_PEERS_US (2 * CS_US_PER_S)
-
 /* How often a stopping daemon looks whether all is done. */
 #define STOP_LOOK_US (20 * CS_US_PER_MS)
 
 #define engine_of(timer, member)                                               \
 	((struct engine *)((char *)(timer)-offsetof(struct engine, member)))
 
-gint64 engine_now(const struct engine *engine)
-{
-	return cs_clock_now(engine->clock);
-}
-
-bool engine_was_asleep(const struct engine *engine)
-{
-	return engine_now(engine) - engine->beat.due_us > ASLEEP_US;
-}
-
-gint64 engine_deadline_ms(const struct config_service *service, gint64 asked_ms)
-{
-	if (asked_ms <= 0)
-		return service->deadline_ms;
-	return MIN(asked_ms, service->deadline_max_ms);
-}
-
-bool engine_ready(struct engine *engine)
-{
-	if (engine->phase != ENGINE_SERVING ||
-	    !policy_fleet_config(engine->fleet) ||
-	    !policy_fleet_list(engine->fleet))
-		return false;
-	if (engine->beats_heard >= engine->settings->ready_peers)
-		return true;
-	return engine_now(engine) - engine->list_taken_us >= HEAR_PEERS_US;
-}
-
 static bool is_ready(void *user)
 {
 	return engine_ready(user);
@@ -152,10 +118,10 @@
 	struct engine *engine = engine_of(timer, beat);
 	gint64 now = engine_now(engine);
 
-	if (now - timer->due_us > ASLEEP_US) {
-		g_autofree char *late =
-			g_strdup_printf("%" G_GINT64_FORMAT,
-					(now - timer->due_us) / CS_US_PER_MS);
+	if (engine_was_asleep(engine)) {
+		g_autofree char *late = g_strdup_printf(
+			"%" G_GINT64_FORMAT,
+			engine_beat_late(engine) / CS_US_PER_MS);
 
 		cs_counters_add(engine->counters, CS_N_PAUSES, 1);
 		cs_log(LOG_WARNING, "woke-late", "late_ms", late, NULL);
--- a/src/libengine/internal.h
+++ b/src/libengine/internal.h
@@ -59,13 +59,20 @@
 	void *user;
 };
 
-/* engine.c */
+/* state.c */
 gint64 engine_now(const struct engine *engine);
 bool engine_ready(struct engine *engine);
 
+/* How late the beat is, microseconds. */
+gint64 engine_beat_late(const struct engine *engine);
+
 /* Whether the loop ran so late that the process must have slept. */
 bool engine_was_asleep(const struct engine *engine);
 
+/* Deadline of a request: the caller's within bounds, else the service's. */
+gint64 engine_deadline_ms(const struct config_service *service,
+			  gint64 asked_ms);
+
 /* spread.c: configurations, lists and beats. */
 bool engine_offer_files(gint64 revision, GPtrArray *files, void *user);
 bool engine_offer_list(json_t *document, gint64 asked_us, void *user);
@@ -108,8 +115,4 @@
 /* pages.c */
 json_t *engine_read_page(enum operator_page page, const char *name, void *user);
 
-/* Deadline of a request: the caller's within bounds, else the service's. */
-gint64 engine_deadline_ms(const struct config_service *service,
-			  gint64 asked_ms);
-
 #endif
--- /dev/null
+++ b/src/libpolicy/latency.c
@@ -0,0 +1,45 @@
+/* Per service: the quantile of recent answers, after which a hedge pays. */
+#include "service.h"
+
+#include "cuminsail/clock.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Answers between two computations of the quantile. */
+#define QUANTILE_EVERY 32
+
+static int compare_times(const void *a, const void *b)
+{
+	gint64 x = *(const gint64 *)a;
+	gint64 y = *(const gint64 *)b;
+
+	return (x > y) - (x < y);
+}
+
+static void compute_quantile(struct policy_service *service)
+{
+	gint64 sorted[LATENCY_RING];
+	guint n = MIN(service->samples, LATENCY_RING);
+	guint index = (guint)(service->config->hedge_quantile * n);
+
+	memcpy(sorted, service->ring_us, n * sizeof(sorted[0]));
+	qsort(sorted, n, sizeof(sorted[0]), compare_times);
+	service->hedge_us = MAX(sorted[MIN(index, n - 1)],
+				service->config->hedge_min_ms * CS_US_PER_MS);
+}
+
+void service_note_latency(struct policy_service *service, gint64 latency_us)
+{
+	service->ring_us[service->samples % LATENCY_RING] = latency_us;
+	service->samples++;
+	if (service->samples % QUANTILE_EVERY == 0 && service->config)
+		compute_quantile(service);
+}
+
+gint64 policy_service_hedge_us(const struct policy_service *service)
+{
+	if (service->config->hedge_quantile <= 0)
+		return 0;
+	return service->hedge_us;
+}
--- a/src/libpolicy/query.h
+++ b/src/libpolicy/query.h
@@ -97,6 +97,18 @@
 void query_cancel_open(struct policy_query *query, const struct shard *shard,
 		       gint64 now_us);
 
+/* progress.c */
+void query_set_pin(struct policy_query *query, struct policy_pin *pin);
+
+/* Asks what waits; ends the query if nothing more can come. */
+void query_advance(struct policy_query *query, gint64 now_us);
+
+/* An attempt at a shard failed: ask again, or give the shard up. */
+void query_ask_again(struct policy_query *query, struct shard *shard,
+		     enum policy_result result);
+void query_hedge_slow(struct policy_query *query, gint64 now_us);
+void query_time_out(struct policy_query *query, gint64 now_us);
+
 /* finish.c */
 void query_finish(struct policy_query *query, gint64 now_us);
 void query_set_waiter(struct policy_query *query, bool waits, gint64 now_us);
--- a/src/libpolicy/service.c
+++ b/src/libpolicy/service.c
@@ -1,15 +1,9 @@
-/* Per service: admission, the budget of extra load, the hedge quantile. */
+/* Per service: admission and the budget of extra load. */
 #include "service.h"
 
 #include "cuminsail/clock.h"
 #include "cuminsail/error.h"
 
-#include <stdlib.h>
-#include <string.h>
-
-/* Answers between two computations of the quantile. */
-#define QUANTILE_EVERY 32
-
 /* How the window of work in progress is cut, how often, and its floor. */
 #define WINDOW_CUT	    0.9
 #define WINDOW_CUT_EVERY_US (100 * CS_US_PER_MS)
@@ -55,41 +49,6 @@
 	return service->config;
 }
 
-static int compare_times(const void *a, const void *b)
-{
-	gint64 x = *(const gint64 *)a;
-	gint64 y = *(const gint64 *)b;
-
-	return (x > y) - (x < y);
-}
-
-static void compute_quantile(struct policy_service *service)
-{
-	gint64 sorted[LATENCY_RING];
-	guint n = MIN(service->samples, LATENCY_RING);
-	guint index = (guint)(service->config->hedge_quantile * n);
-
-	memcpy(sorted, service->ring_us, n * sizeof(sorted[0]));
-	qsort(sorted, n, sizeof(sorted[0]), compare_times);
-	service->hedge_us = MAX(sorted[MIN(index, n - 1)],
-				service->config->hedge_min_ms * CS_US_PER_MS);
-}
-
-void service_note_latency(struct policy_service *service, gint64 latency_us)
-{
-	service->ring_us[service->samples % LATENCY_RING] = latency_us;
-	service->samples++;
-	if (service->samples % QUANTILE_EVERY == 0 && service->config)
-		compute_quantile(service);
-}
-
-gint64 policy_service_hedge_us(const struct policy_service *service)
-{
-	if (service->config->hedge_quantile <= 0)
-		return 0;
-	return service->hedge_us;
-}
-
 /* Extra load never feeds an overload. */
 void policy_service_earn(struct policy_service *service, gint64 now_us)
 {
--- a/src/libpolicy/service.h
+++ b/src/libpolicy/service.h
@@ -28,7 +28,7 @@
 struct policy_service *service_create(const char *name);
 void service_destroy(struct policy_service *service);
 
-/* Take one good answer's latency into the hedge quantile. */
+/* latency.c: take one good answer's latency into the hedge quantile. */
 void service_note_latency(struct policy_service *service, gint64 latency_us);
 
 /* upstream.c: phases and limits of one upstream. */
