Idle connections to other regions are closed after 3 s

A daemon there hedges to one far replica about once a minute, so connections kept for 12 s are hardly ever used again.

Test: idle_connections_to_another_region_are_closed_sooner, red before.

--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -13,6 +13,9 @@
 #define IDLE_MAX_US  (12 * CS_US_PER_S)
 #define SPARE_MAX_US (2 * CS_US_PER_S)
 
+/* The same in another region, where mostly hedges go. */
+#define IDLE_FAR_US (3 * CS_US_PER_S)
+
 /* A connection is left this long before the time that the replica names. */
 #define IDLE_MARGIN_US (700 * CS_US_PER_MS)
 
@@ -169,16 +172,19 @@
 	g_free(answer);
 }
 
-static gint64 idle_until(gint64 now_us, const struct http1_message *answer)
+static gint64 idle_until(const struct route_replica *replica, gint64 now_us,
+			 const struct http1_message *answer)
 {
+	gint64 most_us =
+		replica->distance == ROUTE_FAR ? IDLE_FAR_US : IDLE_MAX_US;
 	const char *keep = http1_message_get(answer, "Keep-Alive");
 	const char *timeout = keep ? strstr(keep, "timeout=") : NULL;
 	gint64 named_us;
 
 	if (!timeout)
-		return now_us + IDLE_MAX_US;
+		return now_us + most_us;
 	named_us = strtol(timeout + strlen("timeout="), NULL, 10) * CS_US_PER_S;
-	return now_us + CLAMP(named_us - IDLE_MARGIN_US, 0, IDLE_MAX_US);
+	return now_us + CLAMP(named_us - IDLE_MARGIN_US, 0, most_us);
 }
 
 /* The connection has given its answer: keep it, or close it. */
@@ -248,7 +254,8 @@
 	if (part && !verdict.not_run && verdict.reason != CS_E_BAD_ANSWER)
 		answer = copy_answer(engine, message, part->job->n_parts == 1);
 	end_attempt(attempt, verdict.result);
-	release(connection, idle_until(forward_now(engine), message));
+	release(connection, idle_until(connection->carrier->replica,
+				       forward_now(engine), message));
 	if (!part)
 		return true;
 	if (verdict.not_run)
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -337,6 +337,37 @@
  * incident of pliega-busca: hedges went to replicas that had crashed and were
  * still listed; the part then waited for its slow first attempt alone.
  */
+/* pliega-busca-grown trouble-1: replicas counted the idle connections of all
+ * machines that had lost power, and reset new ones. */
+START_TEST(idle_connections_to_another_region_are_closed_sooner)
+{
+	struct world2 world;
+	struct net_client *client;
+
+	world2_create(&world);
+	world2_publish(&world);
+	/* The near replica pauses, and the far one is hedged to. */
+	script(&world, 0, NULL, false);
+	script(&world, 1, signed_answer(1, 200, "b"), false);
+	client = ask(&world, "GET /one/");
+	net_pass(&world.net, 2000);
+	ck_assert_uint_eq(world.scripts[1]->open_now, 1);
+	net_pass(&world.net, 1500);
+	net_close(client);
+	ck_assert_uint_eq(world.scripts[1]->open_now, 0);
+	world2_destroy(&world);
+
+	world2_create(&world);
+	world2_publish(&world);
+	script(&world, 0, signed_answer(0, 200, "a"), false);
+	client = ask(&world, "GET /one/");
+	net_pass(&world.net, 5000);
+	net_close(client);
+	ck_assert_uint_eq(world.scripts[0]->open_now, 1);
+	world2_destroy(&world);
+}
+END_TEST
+
 START_TEST(a_hedge_that_was_never_sent_goes_to_another_replica)
 {
 	struct world2 world;
@@ -669,6 +700,7 @@
 	  what_a_failed_attempt_leads_to,
 	  a_refusal_that_promises_not_run_is_true,
 	  a_silent_replica_is_hedged_or_waited_for,
+	  idle_connections_to_another_region_are_closed_sooner,
 	  a_hedge_that_was_never_sent_goes_to_another_replica,
 	  a_hedge_without_room_is_tried_again,
 	  work_for_a_caller_that_left_is_cut_within_half_a_second,
