One epoll_wait a turn; sockets are served before timers

Cause: each turn of the loop was a poll of GLib, an epoll_wait for the events, and the clock's timers before the sockets, so that on a small machine an answer that was already here was hedged as late.

Change: http1_loop_turn() prepares and queries the GLib context and waits for the sockets, GLib's wake-up and the next timer in one epoll_wait; sockets and what they deferred come first, then sources and timers. Both programs and the tests take turns by it; the engine is given its loop.

--- a/include/cuminsail/engine.h
+++ b/include/cuminsail/engine.h
@@ -7,14 +7,14 @@
 #ifndef CUMINSAIL_ENGINE_H
 #define CUMINSAIL_ENGINE_H
 
-#include "cuminsail/clock.h"
+#include "cuminsail/http1.h"
 #include "cuminsail/config.h"
 
 struct engine;
 
 /**
  * engine_create - start a daemon's work
- * @clock: the clock
+ * @loop: the loop
  * @settings: checked settings; must outlive the engine
  * @stopped: called once when a shutdown has ended
  * @user: passed to @stopped
@@ -22,7 +22,7 @@
  *
  * Return: a new engine, or NULL with @why set.
  */
-struct engine *engine_create(struct cs_clock *clock,
+struct engine *engine_create(struct http1_loop *loop,
 			     const struct settings *settings,
 			     void (*stopped)(void *user), void *user,
 			     char **why);
--- a/include/cuminsail/http1.h
+++ b/include/cuminsail/http1.h
@@ -1,7 +1,7 @@
 /**
  * http1.h - HTTP/1.1 connections, both sides, on one epoll set
  *
- * The sockets live in an epoll set that is one source of the GLib loop.
+ * The sockets live in an epoll set that takes turns with the GLib loop.
  * Messages are parsed by http-parser; a body is complete only by its length,
  * its last chunk, or an orderly close. Every call is made from the loop's
  * thread. Objects closed inside a callback are freed at the end of the turn.
@@ -29,7 +29,7 @@
 };
 
 /**
- * http1_loop_create - an epoll set attached to the default main context
+ * http1_loop_create - an epoll set beside the default main context
  * @clock: the clock of all connections on it
  *
  * Return: a new loop, or NULL if the kernel gives no epoll descriptor.
@@ -37,7 +37,16 @@
 struct http1_loop *http1_loop_create(struct cs_clock *clock);
 
 /**
- * http1_loop_destroy - detach and free
+ * http1_loop_turn - wait for events, serve sockets, then timers and sources
+ * @loop: a loop
+ * @may_wait: false to take only what is ready
+ *
+ * Return: whether anything was ready.
+ */
+bool http1_loop_turn(struct http1_loop *loop, bool may_wait);
+
+/**
+ * http1_loop_destroy - free
  * @loop: a loop without connections, or NULL
  */
 void http1_loop_destroy(struct http1_loop *loop);
--- a/src/cuminsaild/forward.c
+++ b/src/cuminsaild/forward.c
@@ -18,7 +18,7 @@
 #define LOOK_AT_SETTINGS_US (2 * CS_US_PER_S)
 
 struct forwarder {
-	GMainLoop *main;
+	bool stopped;
 	struct cs_clock *clock;
 	struct forward_engine *engine;
 	const char *path;
@@ -103,7 +103,7 @@
 {
 	struct forwarder *forwarder = user;
 
-	g_main_loop_quit(forwarder->main);
+	forwarder->stopped = true;
 }
 
 static int serve(struct forwarder *forwarder, struct http1_loop *loop)
@@ -123,7 +123,8 @@
 	signals[2] = g_unix_signal_add(SIGHUP, on_hup, forwarder);
 	forwarder->look.fire = on_look;
 	on_look(&forwarder->look);
-	g_main_loop_run(forwarder->main);
+	while (!forwarder->stopped)
+		http1_loop_turn(loop, true);
 	cs_timer_disarm(forwarder->clock, &forwarder->look);
 	for (gsize i = 0; i < G_N_ELEMENTS(signals); i++)
 		g_source_remove(signals[i]);
@@ -140,12 +141,10 @@
 
 	forwarder->clock = cs_clock_create();
 	cs_log_start(STDOUT_FILENO, forwarder->clock);
-	forwarder->main = g_main_loop_new(NULL, FALSE);
 	loop = http1_loop_create(forwarder->clock);
 	if (loop)
 		status = serve(forwarder, loop);
 	http1_loop_destroy(loop);
-	g_main_loop_unref(forwarder->main);
 	cs_log_start(STDOUT_FILENO, NULL);
 	cs_clock_destroy(forwarder->clock);
 	return status;
--- a/src/cuminsaild/main.c
+++ b/src/cuminsaild/main.c
@@ -92,8 +92,8 @@
 }
 
 struct daemon {
-	GMainLoop *loop;
 	struct engine *engine;
+	bool stopped;
 };
 
 static gboolean on_signal(gpointer user)
@@ -108,37 +108,48 @@
 {
 	struct daemon *daemon = user;
 
-	g_main_loop_quit(daemon->loop);
+	daemon->stopped = true;
 }
 
-static int run(const struct settings *settings)
+static int serve(struct http1_loop *loop, const struct settings *settings)
 {
-	struct cs_clock *clock = cs_clock_create();
+	struct daemon daemon = {0};
 	g_autofree char *why = NULL;
-	struct daemon daemon = {.loop = g_main_loop_new(NULL, FALSE)};
 	guint term;
 	guint interrupt;
 
-	cs_log_start(STDOUT_FILENO, clock);
 	daemon.engine =
-		engine_create(clock, settings, on_stopped, &daemon, &why);
+		engine_create(loop, settings, on_stopped, &daemon, &why);
 	if (!daemon.engine) {
 		cs_log(LOG_ERR, "start-failed", "why", why, NULL);
-		cs_log_start(STDOUT_FILENO, NULL);
-		g_main_loop_unref(daemon.loop);
-		cs_clock_destroy(clock);
 		return EXIT_FAILURE;
 	}
 	term = g_unix_signal_add(SIGTERM, on_signal, &daemon);
 	interrupt = g_unix_signal_add(SIGINT, on_signal, &daemon);
-	g_main_loop_run(daemon.loop);
+	while (!daemon.stopped)
+		http1_loop_turn(loop, true);
 	g_source_remove(term);
 	g_source_remove(interrupt);
 	engine_destroy(daemon.engine);
-	g_main_loop_unref(daemon.loop);
+	return EXIT_SUCCESS;
+}
+
+static int run(const struct settings *settings)
+{
+	struct cs_clock *clock = cs_clock_create();
+	struct http1_loop *loop = http1_loop_create(clock);
+	int status = EXIT_FAILURE;
+
+	cs_log_start(STDOUT_FILENO, clock);
+	if (loop)
+		status = serve(loop, settings);
+	else
+		cs_log(LOG_ERR, "start-failed", "why", "no epoll descriptor",
+		       NULL);
+	http1_loop_destroy(loop);
 	cs_log_start(STDOUT_FILENO, NULL);
 	cs_clock_destroy(clock);
-	return EXIT_SUCCESS;
+	return status;
 }
 
 int main(int argc, char **argv)
--- a/src/libengine/engine.c
+++ b/src/libengine/engine.c
@@ -250,7 +250,7 @@
 	TAILQ_INIT(&engine->order_waits);
 }
 
-struct engine *engine_create(struct cs_clock *clock,
+struct engine *engine_create(struct http1_loop *loop,
 			     const struct settings *settings,
 			     void (*stopped)(void *user), void *user,
 			     char **why)
@@ -260,13 +260,8 @@
 						engine_offer_list,
 						engine_list_same, engine};
 
-	engine->loop = http1_loop_create(clock);
-	if (!engine->loop) {
-		cs_why(why, "no epoll descriptor");
-		g_free(engine);
-		return NULL;
-	}
-	engine->clock = clock;
+	engine->loop = loop;
+	engine->clock = http1_loop_clock(loop);
 	engine->settings = settings;
 	engine->stopped = stopped;
 	engine->user = user;
@@ -278,7 +273,8 @@
 	engine->orders = create_orders(engine);
 	engine->platform = platform_create(engine->loop, settings,
 					   engine->counters, &platform_hooks);
-	cs_timer_arm(clock, &engine->beat, cs_clock_now(clock) + BEAT_US);
+	cs_timer_arm(engine->clock, &engine->beat,
+		     engine_now(engine) + BEAT_US);
 	cs_log(LOG_NOTICE, "started", "instance", settings->instance, "zone",
 	       settings->zone, NULL);
 	return engine;
@@ -305,7 +301,6 @@
 	policy_revision_clear(&engine->config_revision);
 	history_destroy(engine->history);
 	g_hash_table_unref(engine->pushed);
-	http1_loop_destroy(engine->loop);
 	cs_counters_destroy(engine->counters);
 	g_free(engine->config_text);
 	g_free(engine->list_text);
--- a/test/unit/net.c
+++ b/test/unit/net.c
@@ -41,7 +41,7 @@
 void net_settle(struct net *net)
 {
 	for (int quiet = 0; quiet < QUIET_TURNS;)
-		quiet = g_main_context_iteration(NULL, FALSE) ? 0 : quiet + 1;
+		quiet = http1_loop_turn(net->loop, false) ? 0 : quiet + 1;
 }
 
 void net_pass(struct net *net, gint64 ms)
--- a/test/unit/test_upstream.c
+++ b/test/unit/test_upstream.c
@@ -156,7 +156,8 @@
 	outcome->done = true;
 }
 
-static struct outcome call_port(struct upstream_client *client, guint16 port,
+static struct outcome call_port(struct http1_loop *loop,
+				struct upstream_client *client, guint16 port,
 				bool order, gint64 attempt)
 {
 	g_autofree char *address = g_strdup_printf("127.0.0.1:%u", port);
@@ -179,9 +180,9 @@
 
 	upstream_call_create(client, &request, on_done, &outcome);
 	while (!outcome.done)
-		g_main_context_iteration(NULL, TRUE);
+		http1_loop_turn(loop, true);
 	/* Let the library take the connection back. */
-	while (g_main_context_iteration(NULL, FALSE))
+	while (http1_loop_turn(loop, false))
 		continue;
 	json_decref(body);
 	return outcome;
@@ -287,7 +288,8 @@
 			struct outcome outcome;
 
 			start_server(cases[i].ending, cases[i].reply);
-			outcome = call_port(client, server.port, order, 1);
+			outcome =
+				call_port(loop, client, server.port, order, 1);
 			ck_assert_msg(outcome.result == (order ? cases[i].order
 							       : cases[i].part),
 				      "%s, order %u: %s", cases[i].name, order,
@@ -314,7 +316,8 @@
 	port = server.port;
 	stop_server();
 	for (guint order = 0; order < 2; order++) {
-		struct outcome outcome = call_port(client, port, order, 1);
+		struct outcome outcome =
+			call_port(loop, client, port, order, 1);
 
 		ck_assert_int_eq(outcome.result, POLICY_UNSENT);
 	}
@@ -342,7 +345,7 @@
 		start_server(END_ON_SECOND, order ? OK_HEAD "42\r\n\r\n" ORDER
 						  : OK_HEAD PART_LENGTH
 						    "\r\n\r\n" PART);
-		first = call_port(client, server.port, order, 1);
+		first = call_port(loop, client, server.port, order, 1);
 		ck_assert_int_eq(first.result, POLICY_DONE);
 		if (order) {
 			/* An order never shares a connection. */
@@ -351,7 +354,7 @@
 			ck_assert_int_eq(server.requests, 1);
 			continue;
 		}
-		second = call_port(client, server.port, order, 2);
+		second = call_port(loop, client, server.port, order, 2);
 		ck_assert_int_eq(second.result, POLICY_LOST);
 		upstream_client_destroy(client);
 		stop_server();
@@ -373,7 +376,7 @@
 	start_server(END_AFTER_REPLY,
 		     "HTTP/1.1 503 No\r\nCuminsail-State: draining\r\n"
 		     "Cuminsail-Incarnation: i9\r\n" PROOF EMPTY);
-	outcome = call_port(client, server.port, false, 1);
+	outcome = call_port(loop, client, server.port, false, 1);
 	ck_assert(outcome.draining);
 	ck_assert(!outcome.cold);
 	ck_assert_str_eq(outcome.incarnation, "i9");
@@ -419,7 +422,7 @@
 	}
 	upstream_call_destroy(calls[1]);
 	while (!outcomes[2].done)
-		g_main_context_iteration(NULL, TRUE);
+		http1_loop_turn(loop, true);
 	ck_assert(outcomes[0].done);
 	ck_assert(!outcomes[1].done);
 	ck_assert_int_eq(outcomes[0].result, POLICY_DONE);
@@ -456,7 +459,7 @@
 	request.address = address;
 	upstream_call_destroy(
 		upstream_call_create(client, &request, on_done, &outcome));
-	while (g_main_context_iteration(NULL, FALSE))
+	while (http1_loop_turn(loop, false))
 		continue;
 	ck_assert(!outcome.done);
 	json_decref(body);
