A seed lets callers wait for its first picture

Ruled out: the seeds themselves, which had a picture 0.11 s after their start.

Change: a seed without a picture holds a call for 0.3 s at most; a caller waits 0.2 s for the connection and then for the answer, where it gave up the first call after 0.2 s in all.

Test: a_seed_lets_callers_wait_for_its_first_picture, red before.

--- a/src/libforward/follow.c
+++ b/src/libforward/follow.c
@@ -18,9 +18,11 @@
 /* A seed's answer is due after its longest hold and the longest way. */
 #define ANSWER_US (1500 * CS_US_PER_MS)
 
-/* A call that is not held back: a connection and the way back, between regions
- * 80 ms. */
-#define FIRST_ANSWER_US (200 * CS_US_PER_MS)
+/* The same for the first call, which waits for a picture at most 0.3 s. */
+#define FIRST_ANSWER_US (500 * CS_US_PER_MS)
+
+/* A connection comes about in 40 ms between regions, or the seed is down. */
+#define CONNECT_US (200 * CS_US_PER_MS)
 
 /* One that reads the platform says every so often that it is up. */
 #define ROUND_US (1500 * CS_US_PER_MS)
@@ -326,8 +328,21 @@
 	return true;
 }
 
+/* A seed that is current only says that it is up: its call comes back at once
+ * with nothing new. */
+static gint64 asked_after(const struct forward_follow *follow)
+{
+	return follow->source.revision(follow->source.user);
+}
+
+static void wait_for_answer(struct forward_follow *follow)
+{
+	wait_for(follow, asked_after(follow) ? ANSWER_US : FIRST_ANSWER_US);
+}
+
 static void on_connected(struct http1_call *call, void *user)
 {
+	wait_for_answer(user);
 }
 
 static void on_ended(struct http1_call *call, enum http1_failure why,
@@ -341,13 +356,6 @@
 		     why == HTTP1_NOT_CONNECTED ? "not-connected" : "closed");
 }
 
-/* A seed that is current only says that it is up: its call comes back at once
- * with nothing new. */
-static gint64 asked_after(const struct forward_follow *follow)
-{
-	return follow->source.revision(follow->source.user);
-}
-
 static void send_call(struct forward_follow *follow)
 {
 	const struct forward_settings *settings = follow->engine->settings;
@@ -375,7 +383,9 @@
 	struct http1_call_hooks hooks = {on_connected, on_answer, on_ended,
 					 follow};
 
-	if (!follow->call)
+	bool connected = follow->call != NULL;
+
+	if (!connected)
 		follow->call = http1_call_open(follow->engine->loop,
 					       seed_at(follow, follow->seed),
 					       &follow->limits, &hooks);
@@ -385,7 +395,10 @@
 	}
 	follow->calling = true;
 	send_call(follow);
-	wait_for(follow, asked_after(follow) ? ANSWER_US : FIRST_ANSWER_US);
+	if (connected)
+		wait_for_answer(follow);
+	else
+		wait_for(follow, CONNECT_US);
 }
 
 static void on_timer(struct cs_timer *timer)
--- a/src/libforward/peers.c
+++ b/src/libforward/peers.c
@@ -37,6 +37,10 @@
 /* Longest wait of a call; the caller finds a silent seed by it. */
 #define HOLD_MAX_US (1 * CS_US_PER_S)
 
+/* The same while this daemon has no picture yet: all may have started together,
+ * and a seed reads the platform in about 0.1 s. */
+#define HOLD_EMPTY_US (300 * CS_US_PER_MS)
+
 /* A daemon that told this one that it is up. */
 struct heard {
 	char *zone;
@@ -240,11 +244,18 @@
 
 /* ---- answers ---- */
 
+static gint64 own_revision(const struct forward_peers *peers)
+{
+	const struct forward_source *source = &peers->source;
+
+	return source->revision ? source->revision(source->user) : 0;
+}
+
 /* Return: the changes after a revision, packed, or NULL; owned by @peers. */
 static const char *picture_text(struct forward_peers *peers, gint64 after)
 {
 	const struct forward_source *source = &peers->source;
-	gint64 revision = source->revision ? source->revision(source->user) : 0;
+	gint64 revision = own_revision(peers);
 	g_autofree char *text = NULL;
 	char *packed;
 	json_t *picture;
@@ -328,21 +339,33 @@
 		(struct held *)((char *)timer - offsetof(struct held, timer)));
 }
 
-/* A caller is answered at once if something is new, or the picture is late. */
 static bool has_news(const struct forward_peers *peers, gint64 after)
 {
-	if (!peers->source.revision)
-		return true;
-	return after <= 0 || after < peers->source.revision(peers->source.user);
+	gint64 revision = own_revision(peers);
+
+	return revision && (after <= 0 || after < revision);
+}
+
+/* How long a call may wait: not at all if something is new, or the picture is
+ * late. */
+static gint64 hold_time(const struct forward_peers *peers, gint64 after)
+{
+	gint64 late_us = FORWARD_LATE_US - forward_picture_age(peers->engine);
+
+	if (!own_revision(peers))
+		return HOLD_EMPTY_US;
+	if (has_news(peers, after))
+		return 0;
+	return CLAMP(late_us, 0, HOLD_MAX_US);
 }
 
 static void hold(struct forward_peers *peers, struct http1_exchange *exchange,
 		 const char *zone, gint64 after)
 {
-	gint64 late_us = FORWARD_LATE_US - forward_picture_age(peers->engine);
+	gint64 wait_us = hold_time(peers, after);
 	struct held *held;
 
-	if (has_news(peers, after) || late_us <= 0) {
+	if (!wait_us) {
 		answer(peers, exchange, zone, after);
 		return;
 	}
@@ -355,7 +378,7 @@
 	TAILQ_INSERT_TAIL(&peers->held, held, link);
 	http1_exchange_set_data(exchange, held);
 	cs_timer_arm(peers->engine->clock, &held->timer,
-		     forward_now(peers->engine) + MIN(HOLD_MAX_US, late_us));
+		     forward_now(peers->engine) + wait_us);
 }
 
 void forward_peers_changed(struct forward_peers *peers)
--- a/test/unit/test_follow.c
+++ b/test/unit/test_follow.c
@@ -206,6 +206,40 @@
 }
 END_TEST
 
+/* pliega-busca-grown trouble-1: after a power loss of all machines the seeds
+ * had no picture when they were first asked, and small daemons read the
+ * platform themselves, half a second later. */
+START_TEST(a_seed_lets_callers_wait_for_its_first_picture)
+{
+	struct net net = net_create();
+	struct daemon2 seeds[SEEDS];
+	struct daemon2 follower;
+
+	start(&net, &seeds[0], 0, "a");
+	start(&net, &seeds[1], 1, "b");
+	start(&net, &follower, 2, "a");
+	net_pass(&net, 250);
+	ck_assert_int_eq(follower.revision, 0);
+	confirm(&net, &seeds[0], 5);
+	confirm(&net, &seeds[1], 5);
+	net_pass(&net, 5);
+	ck_assert_int_eq(follower.revision, 5);
+	/* And not for ever: the platform may be away from the seeds only. */
+	end(&follower);
+	for (guint i = 0; i < SEEDS; i++) {
+		end(&seeds[i]);
+		start(&net, &seeds[i], i, "a");
+	}
+	start(&net, &follower, 2, "a");
+	net_pass(&net, 1000);
+	ck_assert(follower.direct);
+	for (guint i = 0; i < SEEDS; i++)
+		end(&seeds[i]);
+	end(&follower);
+	net_destroy(&net);
+}
+END_TEST
+
 /* The counts as the daemon itself has them, by its shares of connections. */
 static guint share_of(struct daemon2 *daemon, const char *zone)
 {
@@ -438,6 +472,7 @@
 	  a_late_seed_is_left_for_one_that_is_current,
 	  without_a_seed_the_platform_is_read_in_time,
 	  a_daemon_without_any_picture_soon_reads_the_platform,
+	  a_seed_lets_callers_wait_for_its_first_picture,
 	  each_daemon_counts_once_whatever_seed_it_calls,
 	  what_one_daemon_sees_reaches_the_others_by_the_seed,
 	  damaged_reports_and_words_change_nothing,
