cuminsail why reads daemons' logs

Tests in test/client.sh: two daemons' logs, a collector's prefix, quoted values, standard input, an unknown id, no file. The case of a host name in the settings expects the message that the IPv4 check has had since; it was red in between, the client's cases had not been run then.

--- a/src/cuminsail/client.h
+++ b/src/cuminsail/client.h
@@ -16,6 +16,8 @@
 	bool json;
 	const char *record; /* file for a line of each exchange, or NULL */
 	GPtrArray *daemons; /* char *, "IP:port" of operators' pages */
+	GPtrArray
+		*logs; /* char *, files of daemons' logs; "-": standard input */
 	GPtrArray *arguments; /* char *, after the subcommand */
 };
 
@@ -31,6 +33,9 @@
 enum client_exit client_config(const struct client *client);
 enum client_exit client_why(const struct client *client);
 
+/* story.c: client_why() from logs */
+enum client_exit client_story(const struct client *client);
+
 /* keys.c */
 enum client_exit client_keys(const struct client *client);
 
--- a/src/cuminsail/main.c
+++ b/src/cuminsail/main.c
@@ -32,6 +32,10 @@
 	 "Operators' address of a daemon; may be given several times "
 	 "(default " DEFAULT_DAEMON ")",
 	 0},
+	{"logs", 'l', "FILE", 0,
+	 "Read why from daemons' logs, - for standard input; may be given "
+	 "several times",
+	 0},
 	{"record", 'r', "FILE", 0, "Write each exchange of a load to FILE", 0},
 	{"json", 'j', NULL, 0, "Print JSON", 0},
 	{0},
@@ -79,6 +83,9 @@
 	case 'd':
 		g_ptr_array_add(arguments->client.daemons, value);
 		return 0;
+	case 'l':
+		g_ptr_array_add(arguments->client.logs, value);
+		return 0;
 	case 'r':
 		arguments->client.record = value;
 		return 0;
@@ -114,12 +121,14 @@
 
 	argp_err_exit_status = CLIENT_USAGE;
 	arguments.client.daemons = g_ptr_array_new();
+	arguments.client.logs = g_ptr_array_new();
 	arguments.client.arguments = g_ptr_array_new();
 	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
 	if (!arguments.client.daemons->len)
 		g_ptr_array_add(arguments.client.daemons, DEFAULT_DAEMON);
 	status = arguments.command->run(&arguments.client);
 	g_ptr_array_unref(arguments.client.daemons);
+	g_ptr_array_unref(arguments.client.logs);
 	g_ptr_array_unref(arguments.client.arguments);
 	return status;
 }
--- a/src/cuminsail/remote.c
+++ b/src/cuminsail/remote.c
@@ -174,7 +174,7 @@
 	return status;
 }
 
-enum client_exit client_why(const struct client *client)
+static enum client_exit why_of_daemons(const struct client *client)
 {
 	static const char *const columns[] = {
 		"attempt", "shard",	    "upstream", "cause",
@@ -208,3 +208,9 @@
 	fputs("no daemon asked remembers this request\n", stderr);
 	return status == CLIENT_GOOD ? CLIENT_BAD : status;
 }
+
+enum client_exit client_why(const struct client *client)
+{
+	return client->logs->len ? client_story(client)
+				 : why_of_daemons(client);
+}
--- a/test/client.sh
+++ b/test/client.sh
@@ -46,11 +46,37 @@
 expect 2 'takes 1 argument' $BIN/cuminsail check
 expect 3 'refused' $BIN/cuminsail -d 127.0.0.1:1 status
 
+# Logs of two daemons, one behind what a collector adds.
+cat >"$WORK/d1.log" <<'END'
+<5>at=1000 event=table-taken version=3
+<6>at=1010 event=replica replica=u1 state=ready revision=4
+<6>at=1020 event=replica replica=u2 state=ready revision=5
+<6>at=2000 event=hedge id=r1 replica=u1 reason="slow now"
+<6>at=2003 event=request id=r1 outcome=partial status=200 parts=2/3
+not a line of a daemon
+<6>at=2001 event=request id=r2 outcome=answered status=200 parts=3/3
+END
+sed 's/^/2026-12-04 entry-2 /; s/r2/r1/' "$WORK/d1.log" | grep -v hedge >"$WORK/d2.log"
+expect 0 '^ *-0.990 s +d1.log +replica replica=u1 state=ready' \
+	$BIN/cuminsail why r1 -l "$WORK/d1.log"
+expect 0 '^ *\+0.003 s +d1.log +request id=r1 outcome=partial' \
+	$BIN/cuminsail why r1 -l "$WORK/d1.log" -l "$WORK/d2.log"
+expect 0 '^ *\+0.001 s +entry-2 +request id=r1 outcome=answered' \
+	$BIN/cuminsail why r1 -l "$WORK/d1.log" -l "$WORK/d2.log"
+expect 0 '"reason": "slow now"' $BIN/cuminsail --json why r1 -l "$WORK/d1.log"
+expect 0 'request r2' sh -c "$BIN/cuminsail why r2 -l - <'$WORK/d1.log'"
+expect 1 'no line of r9 in 6 lines' $BIN/cuminsail why r9 -l "$WORK/d1.log"
+expect 3 'none.log: No such file' $BIN/cuminsail why r1 -l "$WORK/none.log"
+if $BIN/cuminsail why r1 -l "$WORK/d1.log" | grep -q u2; then
+	echo "client: why tells of a replica that the request did not meet"
+	bad=1
+fi
+
 expect 0 'settings are good' $BIN/cuminsaild --check examples/settings/entry-1.json
 sed 's/"port": 8080/"port": 80800/' examples/settings/entry-1.json >"$WORK/port.json"
 expect 2 'caller.port: value 80800 is outside' $BIN/cuminsaild "$WORK/port.json"
 sed 's/127.0.0.1/localhost/' examples/settings/entry-1.json >"$WORK/name.json"
-expect 2 'localhost is not an IP number' $BIN/cuminsaild --check "$WORK/name.json"
+expect 2 'localhost is not an IPv4 number' $BIN/cuminsaild --check "$WORK/name.json"
 expect 2 'settings-refused' $BIN/cuminsaild "$WORK/none.json"
 expect 64 'Usage' $BIN/cuminsaild
 [ $bad = 0 ] && echo "client: all cases good"
