Lint: a line buffer on the stack

clang-tidy took the freed buffer of the log reader for a leak; a buffer on the stack needs no freeing. Lint is clean.

--- a/src/cuminsail/story.c
+++ b/src/cuminsail/story.c
@@ -150,14 +150,13 @@
 static bool read_file(struct story *story, const char *name)
 {
 	FILE *file = strcmp(name, "-") != 0 ? fopen(name, "re") : stdin;
-	g_autofree char *line = NULL;
+	char line[LINE_MAX_BYTES];
 
 	if (!file) {
 		fprintf(stderr, "cuminsail: %s: %s\n", name, g_strerror(errno));
 		return false;
 	}
-	line = g_malloc(LINE_MAX_BYTES);
-	while (fgets(line, LINE_MAX_BYTES, file)) {
+	while (fgets(line, sizeof(line), file)) {
 		line[strcspn(line, "\n")] = '\0';
 		take_line(story, file == stdin ? "stdin" : name, line);
 	}
