Pooled figures fade before news is added; the soak's seeds behind proxies

A replica that had failed while all restarted was then hardly asked; its next good answer was added to the old figure as if that were of now, and told with a new time. Ruled out: the threshold (shares of 0.3 and more were told).

Change: what is pooled fades by its age before a report is added. Test: old_failures_count_less_when_news_comes, red before.

--- a/src/libroute/evidence.c
+++ b/src/libroute/evidence.c
@@ -100,6 +100,19 @@
 	report(fleet, false, &reporting);
 }
 
+/* What is left of the pooled figures when nobody has asked for some time. */
+static struct route_evidence faded(const struct route_evidence *evidence,
+				   gint64 now_us)
+{
+	double left = exp2(-(double)(now_us - evidence->at_us) / FADE_HALF_US);
+
+	return (struct route_evidence){
+		.slowness = 1 + left * (evidence->slowness - 1),
+		.failure_rate = left * evidence->failure_rate,
+		.at_us = now_us,
+	};
+}
+
 /* Weight of a number of attempts that came so long after the last ones. */
 static double weight_of(guint attempts, gint64 gap_us)
 {
@@ -130,6 +143,7 @@
 	if (!pooled->at_us)
 		*pooled = (struct route_evidence){.slowness = 1};
 	weight = weight_of(attempts, now_us - pooled->at_us);
+	*pooled = faded(pooled, now_us);
 	if (tally->answers) {
 		double slowness = tally->slowness / tally->answers;
 
@@ -138,26 +152,12 @@
 	}
 	pooled->failure_rate += weight * ((double)tally->failures / attempts -
 					  pooled->failure_rate);
-	pooled->at_us = now_us;
 	if (!is_notable(pooled))
 		replica->notable_us = 0;
 	else if (!replica->notable_us)
 		replica->notable_us = now_us;
 }
 
-/* What is left of the pooled figures when nobody has asked for some time. */
-static struct route_evidence faded(const struct route_evidence *evidence,
-				   gint64 now_us)
-{
-	double left = exp2(-(double)(now_us - evidence->at_us) / FADE_HALF_US);
-
-	return (struct route_evidence){
-		.slowness = 1 + left * (evidence->slowness - 1),
-		.failure_rate = left * evidence->failure_rate,
-		.at_us = now_us,
-	};
-}
-
 void route_fleet_notable(struct route_fleet *fleet, guint most, gint64 now_us,
 			 void (*visit)(const char *id,
 				       const struct route_evidence *evidence,
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -2,8 +2,8 @@
 """Randomized faults against real daemons on loopback.
 
 Starts forwarding daemons as processes and plays the platform's store, the
-replicas and the callers itself. Proxies on loopback stand before the store and
-the replicas. What callers and replicas see is checked:
+replicas and the callers itself. Proxies on loopback stand before the store, the
+replicas and the seeds. What callers and replicas see is checked:
 
   whole     a success is one replica's whole answer to this request, or the
             greatest records of the parts that it names
@@ -14,7 +14,8 @@
   recover   after the last fault nearly all requests are served
   ends      no daemon ends by itself; SIGTERM ends with status 0
 
-Usage: soak.py DAEMON [--seed N] [--runs N] [--seconds S] [--logs DIR]
+Usage: soak.py DAEMON [--seed N] [--runs N] [--seconds S] [--daemons N]
+               [--logs DIR]
 """
 import argparse
 import asyncio
@@ -29,7 +30,8 @@
 import tempfile
 import time
 
-DAEMONS = 3
+ZONES = 3
+SEEDS = 2
 SHARDS = 4
 REPLICAS = 3  # of each service
 TOP_K = 5
@@ -240,14 +242,15 @@
         base = world.base
         with open(self.path, "w", encoding="utf8") as out:
             json.dump({
-                "instance": f"d{number}", "zone": world.zones[number],
+                "instance": f"d{number}", "zone": world.zone_of(number),
                 "zones": {z: z for z in world.zones},
                 "caller": f"{self.ip}:{base}",
                 "ready": f"{self.ip}:{base + 1}",
                 "control": f"{self.ip}:{base + 2}",
                 "metrics": f"{self.ip}:{base + 3}",
                 "platform": f"127.0.0.1:{base + 5}",
-                "seeds": [f"127.0.0.{10 + i}:{base + 2}" for i in range(2)],
+                "seeds": [f"{self.ip}:{base + 2}" if i == number else
+                          f"127.0.0.1:{base + 7 + i}" for i in range(SEEDS)],
                 "budget_ratio": RATIO, "budget_slack": SLACK,
                 "budget_window_s": WINDOW_S}, out)
 
@@ -280,26 +283,26 @@
 
 
 class World:
-    def __init__(self, program, seed, seconds, folder):
+    def __init__(self, program, seed, seconds, folder, daemons=3):
         self.program, self.seed, self.seconds = program, seed, seconds
-        self.folder = folder
+        self.folder, self.n_daemons = folder, daemons
         self.random = random.Random(seed)
         # Below the range that the kernel gives to outgoing connections.
         self.base = 12000 + (os.getpid() % 80) * 200
-        self.zones = [f"z{i}" for i in range(DAEMONS)]
+        self.zones = [f"z{i}" for i in range(ZONES)]
         self.store, self.sequence, self.version = Store(), 0, 0
         self.breaches, self.requests = [], []
         self.arrivals = collections.defaultdict(list)
         self.runs = collections.defaultdict(list)  # id to services
         self.shards = [f"shard{i}" for i in range(SHARDS)]
-        self.replicas, self.proxies = [], []
+        self.replicas, self.proxies, self.seed_proxies = [], [], []
         self.stopping, self.servers = False, []
 
     def breach(self, rule, text):
         self.breaches.append(f"{rule}: {text}")
 
-    def zone_of(self, port):
-        return self.zones[port % DAEMONS]
+    def zone_of(self, number):
+        return self.zones[number % ZONES]
 
     def proxy_port(self, port):
         return port + 80
@@ -351,7 +354,11 @@
                 self.proxies.append(proxy)
                 self.replicas.append(replica)
                 port += 1
-        self.daemons = [Daemon(self, i) for i in range(DAEMONS)]
+        for i in range(SEEDS):
+            proxy = Proxy(base + 7 + i, (f"127.0.0.{10 + i}", base + 2))
+            await proxy.start()
+            self.seed_proxies.append(proxy)
+        self.daemons = [Daemon(self, i) for i in range(self.n_daemons)]
         for daemon in self.daemons:
             await daemon.start()
         await asyncio.sleep(1)
@@ -427,7 +434,8 @@
     async def fault(self):
         pick, span = self.random, self.random.uniform(0.2, 1.5)
         daemon, replica = pick.choice(self.daemons), pick.choice(self.replicas)
-        proxy = pick.choice(self.proxies + [self.store_proxy] * 4)
+        proxy = pick.choice(self.proxies + [self.store_proxy] * 4 +
+                            self.seed_proxies * 3)
         kind = pick.choice(["mode", "mode", "reset", "stop", "kill", "term",
                             "hup", "trouble", "trouble", "pause", "crash",
                             "drain", "config", "compact", "refuse"])
@@ -515,7 +523,8 @@
 
     async def play(self):
         await self.start()
-        callers = [asyncio.create_task(self.call()) for _ in range(8)]
+        callers = [asyncio.create_task(self.call())
+                   for _ in range(max(8, self.n_daemons))]
         end, faults = time.monotonic() + self.seconds, []
         while time.monotonic() < end:
             faults.append(asyncio.create_task(self.fault()))
@@ -527,7 +536,8 @@
         self.stopping = True
         await asyncio.gather(*callers)
         await asyncio.gather(*(d.end(signal.SIGTERM) for d in self.daemons))
-        for owner in self.replicas + self.proxies + [self.store_proxy]:
+        for owner in self.replicas + self.proxies + self.seed_proxies + \
+                [self.store_proxy]:
             self.servers.append(owner.server)
         for server in self.servers:
             server.close()
@@ -543,13 +553,15 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--runs", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=8)
+    parser.add_argument("--daemons", type=int, default=3)
     parser.add_argument("--logs", default=None)
     args = parser.parse_args()
     failed = 0
     for seed in range(args.seed, args.seed + args.runs):
         folder = args.logs or tempfile.mkdtemp(prefix="soak-")
         os.makedirs(folder, exist_ok=True)
-        world = World(args.program, seed, args.seconds, folder)
+        world = World(args.program, seed, args.seconds, folder,
+                      args.daemons)
         asked = asyncio.run(world.play())
         served = sum(r["status"] == 200 for r in world.requests)
         print(f"seed {seed}: {asked} requests, {served} served, "
--- a/test/unit/test_evidence.c
+++ b/test/unit/test_evidence.c
@@ -230,6 +230,44 @@
 }
 END_TEST
 
+static void count_notable(const char *id, const struct route_evidence *evidence,
+			  void *user)
+{
+	(*(guint *)user)++;
+}
+
+static guint notable(const struct picture *p)
+{
+	guint n = 0;
+
+	route_fleet_notable(p->fleet, 60, p->now, count_notable, &n);
+	return n;
+}
+
+/* pliega-busca-grown: after a restart replicas that had failed were told of as
+ * failing again by their first good answer, up to 20 s later. */
+START_TEST(old_failures_count_less_when_news_comes)
+{
+	static const struct route_tally bad = {.failures = 1};
+	static const struct route_tally good = {.answers = 1, .slowness = 1};
+	struct picture p = picture_create();
+
+	list(&p);
+	for (int i = 0; i < 40; i++) {
+		route_fleet_pool_report(p.fleet, "near", &bad, p.now);
+		p.now += 50 * MS;
+	}
+	ck_assert_uint_eq(notable(&p), 1);
+	/* Nobody asked it for some time. */
+	p.now += 9 * CS_US_PER_S;
+	ck_assert_uint_eq(notable(&p), 0);
+	route_fleet_pool_report(p.fleet, "near", &good, p.now);
+	p.now += 500 * MS;
+	ck_assert_uint_eq(notable(&p), 0);
+	picture_destroy(&p);
+}
+END_TEST
+
 struct counted {
 	guint n;
 	guint failures;
@@ -271,4 +309,5 @@
 
 UNIT_MAIN("evidence", a_slow_replica_is_known_to_all_within_seconds,
 	  a_pause_turns_nobody_away, what_a_daemon_sees_itself_counts_more,
+	  old_failures_count_less_when_news_comes,
 	  a_report_is_bounded_and_says_the_odd_first)
