--- a/src/libforward/engine.c
+++ b/src/libforward/engine.c
@@ -9,10 +9,6 @@
 /* Upkeep: lapsed replicas, idle connections, waiting parts. */
 #define TICK_US (50 * CS_US_PER_MS)
 
-/* A picture that was confirmed this long ago may lack a change that is due: the
- * longest watch, its margin, and a peer's word of it. */
-#define CURRENT_US (2900 * CS_US_PER_MS)
-
 /* A tick this late means that the process slept. */
 #define ASLEEP_US (1 * CS_US_PER_S)
 
@@ -104,32 +100,6 @@
 
 /* ---- the picture ---- */
 
-gint64 forward_now(const struct forward_engine *engine)
-{
-	return cs_clock_now(engine->clock);
-}
-
-const char *forward_ms(char *text, gint64 us)
-{
-	g_snprintf(text, FIGURE_TEXT, "%.1f", (double)us / CS_US_PER_MS);
-	return text;
-}
-
-gint64 forward_picture_age(const struct forward_engine *engine)
-{
-	return forward_now(engine) - engine->confirmed_us;
-}
-
-struct route_fleet *forward_engine_fleet(struct forward_engine *engine)
-{
-	return engine->fleet;
-}
-
-struct cs_counters *forward_engine_counters(struct forward_engine *engine)
-{
-	return engine->counters;
-}
-
 static void take_limits(struct forward_engine *engine,
 			const struct route_limits *limits)
 {
@@ -162,18 +132,6 @@
 	cs_log(LOG_NOTICE, "table-taken", "version", version, NULL);
 }
 
-static void look_at_age(struct forward_engine *engine)
-{
-	bool current = engine->confirmed_us &&
-		       forward_picture_age(engine) < CURRENT_US;
-
-	if (engine->current == current)
-		return;
-	engine->current = current;
-	cs_log(LOG_NOTICE, current ? "platform-regained" : "platform-lost",
-	       NULL);
-}
-
 void forward_engine_set_source(struct forward_engine *engine,
 			       const struct forward_source *source)
 {
@@ -182,53 +140,12 @@
 	engine->follow = forward_follow_create(engine, source);
 }
 
-void forward_engine_confirm(struct forward_engine *engine, gint64 at_us)
-{
-	engine->confirmed_us = MAX(engine->confirmed_us, at_us);
-	look_at_age(engine);
-}
-
-static void poke(struct forward_engine *engine)
-{
-	struct forward_part *part;
-	struct forward_part *next;
-
-	if (engine->poking)
-		return;
-	engine->poking = true;
-	for (part = TAILQ_FIRST(&engine->waiting); part; part = next) {
-		next = TAILQ_NEXT(part, waiting);
-		forward_part_try(part);
-		/* The job looks at the outcome in a turn of its own. */
-		if (part->state != PART_WAITING)
-			cs_timer_arm(engine->clock, &part->job->timer,
-				     forward_now(engine));
-	}
-	engine->poking = false;
-}
-
-static void poke_later(void *user)
-{
-	struct forward_engine *engine = user;
-
-	engine->poke_due = false;
-	poke(engine);
-}
-
 void forward_engine_changed(struct forward_engine *engine)
 {
-	poke(engine);
+	forward_parts_poke(engine);
 	forward_peers_changed(engine->peers);
 }
 
-void forward_room(struct forward_engine *engine)
-{
-	if (engine->poke_due || TAILQ_EMPTY(&engine->waiting))
-		return;
-	engine->poke_due = true;
-	http1_loop_defer(engine->loop, poke_later, engine);
-}
-
 /* ---- settings ---- */
 
 static bool same_address(const struct sockaddr_in *a,
@@ -336,10 +253,10 @@
 		cs_log(LOG_WARNING, "woke-late", "late_ms", late, NULL);
 	}
 	cs_log_flush();
-	look_at_age(engine);
+	forward_look_at_age(engine);
 	route_fleet_expire(engine->fleet, now);
 	forward_links_sweep(engine);
-	poke(engine);
+	forward_parts_poke(engine);
 	cs_timer_arm(engine->clock, timer, now + TICK_US);
 	look_at_stop(engine, now);
 }
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -145,6 +145,7 @@
 /* Longest text of a figure in a log line. */
 #define FIGURE_TEXT 32
 
+/* state.c */
 gint64 forward_now(const struct forward_engine *engine);
 
 /* Milliseconds with one digit, into FIGURE_TEXT bytes. */
@@ -153,8 +154,8 @@
 /* How long ago the source confirmed the picture, microseconds. */
 gint64 forward_picture_age(const struct forward_engine *engine);
 
-/* engine.c: a replica has room again. */
-void forward_room(struct forward_engine *engine);
+/* Logs when the picture becomes too old for a 404, or current again. */
+void forward_look_at_age(struct forward_engine *engine);
 
 /* Answers that nobody waits for are read until then, to keep the connection:
  * the longest pause of a replica and its work. */
@@ -165,6 +166,12 @@
 bool forward_is_ready(const struct forward_engine *engine);
 
 /* part.c */
+
+/* A replica has room again: parts that wait are tried in a later turn. */
+void forward_room(struct forward_engine *engine);
+
+/* Tries all parts that wait. */
+void forward_parts_poke(struct forward_engine *engine);
 void forward_part_try(struct forward_part *part);
 void forward_part_answered(struct forward_part *part,
 			   struct forward_answer *answer);
@@ -195,6 +202,28 @@
 void forward_job_abandon(struct forward_job *job);
 void forward_job_look(struct forward_job *job);
 
+/* message.c */
+
+/* What an answer says of its attempt. */
+struct forward_verdict {
+	enum route_result result;
+	int reason; /* 0: to be passed on */
+	bool not_run;
+};
+
+struct forward_verdict forward_judge(const struct forward_dialect *dialect,
+				     const struct http1_message *message);
+
+/* A new copy; header lines only where they are passed on. */
+struct forward_answer *forward_copy_answer(
+	const struct forward_dialect *dialect,
+	const struct http1_message *message, bool with_lines);
+void forward_answer_free(struct forward_answer *answer);
+
+/* Writes the head of a job's request to a replica into the engine's head. */
+void forward_write_head(const struct forward_job *job,
+			const struct route_replica *replica);
+
 /* link.c */
 bool forward_send(struct forward_part *part, struct route_replica *replica);
 void forward_attempt_drain(struct forward_attempt *attempt, gint64 limit_us);
@@ -205,7 +234,6 @@
 /* reply.c */
 void forward_reply(struct forward_job *job);
 void forward_refuse(struct forward_job *job, int code);
-void forward_answer_free(struct forward_answer *answer);
 
 /* peers.c: what other daemons ask of this one. */
 struct forward_peers *forward_peers_create(struct forward_engine *engine);
--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -132,46 +132,6 @@
 	       "status", code, "reason", reason, NULL);
 }
 
-static void copy_line(const char *name, const char *value, void *user)
-{
-	GString *lines = user;
-
-	g_string_append(lines, name);
-	g_string_append_len(lines, ": ", 2);
-	g_string_append(lines, value);
-	g_string_append_len(lines, "\r\n", 2);
-}
-
-static struct forward_answer *copy_answer(const struct forward_engine *engine,
-					  const struct http1_message *message,
-					  bool with_lines)
-{
-	struct forward_answer *answer = g_new0(struct forward_answer, 1);
-
-	answer->status = message->status;
-	answer->signature = g_strdup(
-		http1_message_get(message, engine->dialect->signature));
-	answer->body = g_byte_array_sized_new(message->body->len);
-	g_byte_array_append(answer->body, message->body->data,
-			    message->body->len);
-	if (with_lines) {
-		answer->lines = g_string_new(NULL);
-		http1_message_each(message, copy_line, answer->lines);
-	}
-	return answer;
-}
-
-void forward_answer_free(struct forward_answer *answer)
-{
-	if (!answer)
-		return;
-	g_free(answer->signature);
-	g_byte_array_unref(answer->body);
-	if (answer->lines)
-		g_string_free(answer->lines, TRUE);
-	g_free(answer);
-}
-
 static gint64 idle_until(const struct route_replica *replica, gint64 now_us,
 			 const struct http1_message *answer)
 {
@@ -203,32 +163,6 @@
 	TAILQ_INSERT_HEAD(&carrier->idle, connection, link);
 }
 
-/* What an answer says of the attempt. */
-struct verdict {
-	enum route_result result;
-	int reason; /* 0: to be passed on */
-	bool not_run;
-};
-
-static struct verdict judge(const struct forward_engine *engine,
-			    const struct http1_message *message)
-{
-	const struct forward_dialect *dialect = engine->dialect;
-	bool success = message->status >= 200 && message->status < 300;
-
-	if (message->status == dialect->wrong_instance)
-		return (struct verdict){ROUTE_MISPLACED, CS_E_REFUSED, true};
-	if (!success && http1_message_get(message, dialect->not_run))
-		return (struct verdict){ROUTE_SHED, CS_E_REFUSED, true};
-	if (success && !http1_message_get(message, dialect->signature))
-		return (struct verdict){ROUTE_FAILED, CS_E_BAD_ANSWER, false};
-	if (success && !http1_message_get(message, dialect->request_id))
-		return (struct verdict){ROUTE_FAILED, CS_E_BAD_ANSWER, false};
-	if (message->status >= 500)
-		return (struct verdict){ROUTE_FAILED, CS_E_LOST, false};
-	return (struct verdict){ROUTE_GOOD, 0, false};
-}
-
 static bool on_answer(struct http1_call *call,
 		      const struct http1_message *message, void *user)
 {
@@ -239,7 +173,7 @@
 		http1_message_get(message, engine->dialect->request_id);
 	struct forward_part *part = attempt->part;
 	struct forward_answer *answer = NULL;
-	struct verdict verdict;
+	struct forward_verdict verdict;
 
 	if (id && strcmp(id, attempt->request_id) != 0) {
 		log_attempt(attempt, "answer-skipped", "other-request",
@@ -247,12 +181,13 @@
 		cs_counters_add(engine->counters, CS_N_REJ_ID, 1);
 		return false;
 	}
-	verdict = judge(engine, message);
+	verdict = forward_judge(engine->dialect, message);
 	if (verdict.result != ROUTE_GOOD)
 		log_attempt(attempt, "attempt-failed",
 			    cs_error_name(verdict.reason), message->status);
 	if (part && !verdict.not_run && verdict.reason != CS_E_BAD_ANSWER)
-		answer = copy_answer(engine, message, part->job->n_parts == 1);
+		answer = forward_copy_answer(engine->dialect, message,
+					     part->job->n_parts == 1);
 	end_attempt(attempt, verdict.result);
 	release(connection, idle_until(connection->carrier->replica,
 				       forward_now(engine), message));
@@ -369,53 +304,6 @@
 	return connection;
 }
 
-struct head_writer {
-	const struct forward_dialect *dialect;
-	GString *head;
-};
-
-static void write_line(const char *name, const char *value, void *user)
-{
-	struct head_writer *writer = user;
-
-	if (!g_ascii_strcasecmp(name, writer->dialect->deadline_ms) ||
-	    !g_ascii_strcasecmp(name, writer->dialect->instance))
-		return;
-	copy_line(name, value, writer->head);
-}
-
-static bool has_length(const struct http1_message *request)
-{
-	return request->body->len || (strcmp(request->method, "GET") != 0 &&
-				      strcmp(request->method, "HEAD") != 0 &&
-				      strcmp(request->method, "DELETE") != 0);
-}
-
-static void write_head(const struct forward_job *job,
-		       const struct route_replica *replica)
-{
-	const struct http1_message *request = job->request;
-	const struct forward_dialect *dialect = job->engine->dialect;
-	struct head_writer writer = {dialect, job->engine->head};
-	gint64 left_us = job->deadline_us - forward_now(job->engine);
-
-	g_string_truncate(writer.head, 0);
-	g_string_append(writer.head, request->method);
-	g_string_append_c(writer.head, ' ');
-	g_string_append_len(writer.head, request->target->str,
-			    (gssize)request->target->len);
-	g_string_append(writer.head, " HTTP/1.1\r\n");
-	http1_message_each(request, write_line, &writer);
-	g_string_append_printf(
-		writer.head, "%s: %" G_GINT64_FORMAT "\r\n%s: %s\r\n",
-		dialect->deadline_ms, MAX(left_us / CS_US_PER_MS, 1),
-		dialect->instance, replica->id);
-	if (has_length(request))
-		g_string_append_printf(writer.head, "Content-Length: %u\r\n",
-				       request->body->len);
-	g_string_append_len(writer.head, "\r\n", 2);
-}
-
 bool forward_send(struct forward_part *part, struct route_replica *replica)
 {
 	struct forward_job *job = part->job;
@@ -446,7 +334,7 @@
 	TAILQ_INSERT_TAIL(&part->attempts, attempt, link);
 	route_attempt_begin(&attempt->route, replica, job->work, now);
 	cs_counters_add(engine->counters, CS_N_PARTS, 1);
-	write_head(job, replica);
+	forward_write_head(job, replica);
 	http1_call_send(connection->call, engine->head, request->body->data,
 			request->body->len, !strcmp(request->method, "HEAD"));
 	return true;
--- /dev/null
+++ b/src/libforward/message.c
@@ -0,0 +1,114 @@
+/* Heads of requests to replicas, and what their answers say. */
+#include "internal.h"
+
+#include "cuminsail/error.h"
+
+#include <string.h>
+
+static void copy_line(const char *name, const char *value, void *user)
+{
+	GString *lines = user;
+
+	g_string_append(lines, name);
+	g_string_append_len(lines, ": ", 2);
+	g_string_append(lines, value);
+	g_string_append_len(lines, "\r\n", 2);
+}
+
+struct forward_answer *forward_copy_answer(
+	const struct forward_dialect *dialect,
+	const struct http1_message *message, bool with_lines)
+{
+	struct forward_answer *answer = g_new0(struct forward_answer, 1);
+
+	answer->status = message->status;
+	answer->signature =
+		g_strdup(http1_message_get(message, dialect->signature));
+	answer->body = g_byte_array_sized_new(message->body->len);
+	g_byte_array_append(answer->body, message->body->data,
+			    message->body->len);
+	if (with_lines) {
+		answer->lines = g_string_new(NULL);
+		http1_message_each(message, copy_line, answer->lines);
+	}
+	return answer;
+}
+
+void forward_answer_free(struct forward_answer *answer)
+{
+	if (!answer)
+		return;
+	g_free(answer->signature);
+	g_byte_array_unref(answer->body);
+	if (answer->lines)
+		g_string_free(answer->lines, TRUE);
+	g_free(answer);
+}
+
+struct forward_verdict forward_judge(const struct forward_dialect *dialect,
+				     const struct http1_message *message)
+{
+	bool success = message->status >= 200 && message->status < 300;
+
+	if (message->status == dialect->wrong_instance)
+		return (struct forward_verdict){ROUTE_MISPLACED, CS_E_REFUSED,
+						true};
+	if (!success && http1_message_get(message, dialect->not_run))
+		return (struct forward_verdict){ROUTE_SHED, CS_E_REFUSED, true};
+	if (success && !http1_message_get(message, dialect->signature))
+		return (struct forward_verdict){ROUTE_FAILED, CS_E_BAD_ANSWER,
+						false};
+	if (success && !http1_message_get(message, dialect->request_id))
+		return (struct forward_verdict){ROUTE_FAILED, CS_E_BAD_ANSWER,
+						false};
+	if (message->status >= 500)
+		return (struct forward_verdict){ROUTE_FAILED, CS_E_LOST, false};
+	return (struct forward_verdict){ROUTE_GOOD, 0, false};
+}
+
+struct head_writer {
+	const struct forward_dialect *dialect;
+	GString *head;
+};
+
+static void write_line(const char *name, const char *value, void *user)
+{
+	struct head_writer *writer = user;
+
+	if (!g_ascii_strcasecmp(name, writer->dialect->deadline_ms) ||
+	    !g_ascii_strcasecmp(name, writer->dialect->instance))
+		return;
+	copy_line(name, value, writer->head);
+}
+
+static bool has_length(const struct http1_message *request)
+{
+	return request->body->len || (strcmp(request->method, "GET") != 0 &&
+				      strcmp(request->method, "HEAD") != 0 &&
+				      strcmp(request->method, "DELETE") != 0);
+}
+
+void forward_write_head(const struct forward_job *job,
+			const struct route_replica *replica)
+{
+	const struct http1_message *request = job->request;
+	const struct forward_dialect *dialect = job->engine->dialect;
+	struct head_writer writer = {dialect, job->engine->head};
+	gint64 left_us = job->deadline_us - forward_now(job->engine);
+
+	g_string_truncate(writer.head, 0);
+	g_string_append(writer.head, request->method);
+	g_string_append_c(writer.head, ' ');
+	g_string_append_len(writer.head, request->target->str,
+			    (gssize)request->target->len);
+	g_string_append(writer.head, " HTTP/1.1\r\n");
+	http1_message_each(request, write_line, &writer);
+	g_string_append_printf(
+		writer.head, "%s: %" G_GINT64_FORMAT "\r\n%s: %s\r\n",
+		dialect->deadline_ms, MAX(left_us / CS_US_PER_MS, 1),
+		dialect->instance, replica->id);
+	if (has_length(request))
+		g_string_append_printf(writer.head, "Content-Length: %u\r\n",
+				       request->body->len);
+	g_string_append_len(writer.head, "\r\n", 2);
+}
--- a/src/libforward/part.c
+++ b/src/libforward/part.c
@@ -149,6 +149,41 @@
 		join_waiting(part);
 }
 
+void forward_parts_poke(struct forward_engine *engine)
+{
+	struct forward_part *part;
+	struct forward_part *next;
+
+	if (engine->poking)
+		return;
+	engine->poking = true;
+	for (part = TAILQ_FIRST(&engine->waiting); part; part = next) {
+		next = TAILQ_NEXT(part, waiting);
+		forward_part_try(part);
+		/* The job looks at the outcome in a turn of its own. */
+		if (part->state != PART_WAITING)
+			cs_timer_arm(engine->clock, &part->job->timer,
+				     forward_now(engine));
+	}
+	engine->poking = false;
+}
+
+static void poke_later(void *user)
+{
+	struct forward_engine *engine = user;
+
+	engine->poke_due = false;
+	forward_parts_poke(engine);
+}
+
+void forward_room(struct forward_engine *engine)
+{
+	if (engine->poke_due || TAILQ_EMPTY(&engine->waiting))
+		return;
+	engine->poke_due = true;
+	http1_loop_defer(engine->loop, poke_later, engine);
+}
+
 void forward_part_answered(struct forward_part *part,
 			   struct forward_answer *answer)
 {
--- /dev/null
+++ b/src/libforward/state.c
@@ -0,0 +1,52 @@
+/* What the files of the package ask of the engine's state. */
+#include "internal.h"
+
+#include "cuminsail/log.h"
+
+/* A picture that was confirmed this long ago may lack a change that is due: the
+ * longest watch, its margin, and a peer's word of it. */
+#define CURRENT_US (2900 * CS_US_PER_MS)
+
+gint64 forward_now(const struct forward_engine *engine)
+{
+	return cs_clock_now(engine->clock);
+}
+
+const char *forward_ms(char *text, gint64 us)
+{
+	g_snprintf(text, FIGURE_TEXT, "%.1f", (double)us / CS_US_PER_MS);
+	return text;
+}
+
+gint64 forward_picture_age(const struct forward_engine *engine)
+{
+	return forward_now(engine) - engine->confirmed_us;
+}
+
+struct route_fleet *forward_engine_fleet(struct forward_engine *engine)
+{
+	return engine->fleet;
+}
+
+struct cs_counters *forward_engine_counters(struct forward_engine *engine)
+{
+	return engine->counters;
+}
+
+void forward_look_at_age(struct forward_engine *engine)
+{
+	bool current = engine->confirmed_us &&
+		       forward_picture_age(engine) < CURRENT_US;
+
+	if (engine->current == current)
+		return;
+	engine->current = current;
+	cs_log(LOG_NOTICE, current ? "platform-regained" : "platform-lost",
+	       NULL);
+}
+
+void forward_engine_confirm(struct forward_engine *engine, gint64 at_us)
+{
+	engine->confirmed_us = MAX(engine->confirmed_us, at_us);
+	forward_look_at_age(engine);
+}
