--- a/test/unit/test_evidence.c
+++ b/test/unit/test_evidence.c
@@ -177,6 +177,22 @@
 }
 END_TEST
 
+/* Daemons that were told anything of the near replica. */
+static guint count_told(struct play *play)
+{
+	guint n = 0;
+
+	for (guint i = 0; i < DAEMONS; i++) {
+		struct picture *p = &play->daemons[i].picture;
+		struct route_replica *replica = picture_choose(p, NULL);
+
+		if (strcmp(replica->id, "near") != 0)
+			replica = picture_choose(p, replica);
+		n += replica->told.at_us != 0;
+	}
+	return n;
+}
+
 START_TEST(a_pause_turns_nobody_away)
 {
 	struct play *play = play_create(true);
@@ -194,6 +210,7 @@
 						  DAEMONS * 9 / 10);
 		}
 	}
+	ck_assert_uint_eq(count_told(play), 0);
 	play_destroy(play);
 }
 END_TEST
--- a/test/unit/test_upstream.c
+++ b/test/unit/test_upstream.c
@@ -1,6 +1,9 @@
 /* The contract with an upstream: what each ending of a call proves. */
+#include "net.h"
 #include "unit.h"
 
+#include "cuminsail/endpoint.h"
+
 #include <gio/gio.h>
 #include <string.h>
 
@@ -431,11 +434,52 @@
 	upstream_client_destroy(client);
 	stop_server();
 	ck_assert_int_eq(server.requests, 2);
+	/* The one that was cancelled never got a connection. */
+	ck_assert_int_eq(server.connections, 2);
 	http1_loop_destroy(loop);
 	cs_clock_destroy(clock);
 }
 END_TEST
 
+START_TEST(an_order_never_takes_a_kept_connection)
+{
+	struct net net = net_create();
+	struct upstream_client *client = upstream_client_create(net.loop, 4096);
+	struct net_script *script = net_script_create(
+		&net, 130, OK_HEAD PART_LENGTH "\r\n\r\n" PART, false);
+	struct sockaddr_in at = net_address(130);
+	char address[CS_ENDPOINT_TEXT];
+	json_t *body = json_object();
+	struct outcome outcomes[3] = {0};
+
+	cs_endpoint_print(&at, address);
+	for (guint i = 0; i < 3; i++) {
+		struct upstream_request request = {
+			.service = "s",
+			.address = address,
+			.request_id = "r",
+			.attempt = 1,
+			.incarnation = "i1",
+			.deadline_us = 1000 * MS,
+			.connections = 5,
+			.shard = i < 2 ? "0" : NULL,
+			.snapshot = "s1",
+			.body = body,
+		};
+
+		upstream_call_create(client, &request, on_done, &outcomes[i]);
+		net_settle(&net);
+		ck_assert(outcomes[i].done);
+		/* Two parts share one, the order has its own. */
+		ck_assert_uint_eq(script->connections, i < 2 ? 1 : 2);
+	}
+	json_decref(body);
+	upstream_client_destroy(client);
+	net_script_destroy(script);
+	net_destroy(&net);
+}
+END_TEST
+
 /* A cancelled call is freed and never calls back. */
 START_TEST(a_cancelled_call_is_silent)
 {
@@ -474,4 +518,5 @@
 	  nothing_is_sent_where_nobody_listens,
 	  no_request_is_sent_twice_by_the_library,
 	  an_upstreams_own_words_are_heard,
-	  calls_above_the_cap_wait_for_a_connection, a_cancelled_call_is_silent)
+	  calls_above_the_cap_wait_for_a_connection,
+	  an_order_never_takes_a_kept_connection, a_cancelled_call_is_silent)
