--- a/src/cuminsail/client.h
+++ b/src/cuminsail/client.h
@@ -33,9 +33,29 @@
 enum client_exit client_config(const struct client *client);
 enum client_exit client_why(const struct client *client);
 
+/* A line of a log. */
+struct log_entry {
+	gint64 at_ms; /* Unix */
+	guint number; /* in order of reading */
+	char *source; /* what stands before the line: file, instance */
+	char *text;
+	GHashTable *values; /* key to value */
+};
+
+/* logs.c: reads the client's logs; each entry is the callee's, for
+ * log_entry_free(). Return: false if a file cannot be read. */
+bool logs_read(const struct client *client,
+	       void (*take)(struct log_entry *entry, void *user), void *user,
+	       guint *n_read);
+const char *log_entry_get(const struct log_entry *entry, const char *key);
+void log_entry_free(void *entry);
+
 /* story.c: client_why() from logs */
 enum client_exit client_story(const struct client *client);
 
+/* report.c */
+enum client_exit client_report(const struct client *client);
+
 /* keys.c */
 enum client_exit client_keys(const struct client *client);
 
--- /dev/null
+++ b/src/cuminsail/logs.c
@@ -0,0 +1,128 @@
+/* Lines of daemons' logs, as files or as a collector passes them on. */
+#include "client.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Longest line that is read; daemons write none over 4 KB. */
+#define LINE_MAX_BYTES 65536
+
+void log_entry_free(void *data)
+{
+	struct log_entry *entry = data;
+
+	g_free(entry->source);
+	g_free(entry->text);
+	g_hash_table_unref(entry->values);
+	g_free(entry);
+}
+
+const char *log_entry_get(const struct log_entry *entry, const char *key)
+{
+	return g_hash_table_lookup(entry->values, key);
+}
+
+/* Return: the end of the value, with its copy added to the table. */
+static const char *read_pair(const char *text, GHashTable *values)
+{
+	const char *equals = text + strcspn(text, "= ");
+	const char *end;
+	char *value;
+
+	if (*equals != '=')
+		return equals;
+	end = equals + 1;
+	if (*end == '"') {
+		g_autofree char *quoted = NULL;
+
+		for (end++; *end && *end != '"'; end++)
+			end += *end == '\\' && end[1];
+		quoted = g_strndup(equals + 2, (gsize)(end - equals - 2));
+		value = g_strcompress(quoted);
+		end += *end == '"';
+	} else {
+		end += strcspn(end, " ");
+		value = g_strndup(equals + 1, (gsize)(end - equals - 1));
+	}
+	g_hash_table_replace(values, g_strndup(text, (gsize)(equals - text)),
+			     value);
+	return end;
+}
+
+static GHashTable *read_pairs(const char *text)
+{
+	GHashTable *values =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+
+	while (*text) {
+		text += strspn(text, " ");
+		if (*text)
+			text = read_pair(text, values);
+	}
+	return values;
+}
+
+/* Return: the entry of a line, or NULL if it is none. What a collector writes
+ * before a line is kept as its source, but for a time. */
+static struct log_entry *read_entry(const char *file, const char *line)
+{
+	const char *start = strstr(line, ">at=");
+	g_autofree char *before = NULL;
+	struct log_entry *entry;
+	const char *word;
+
+	if (!start || start - line < 2 || !strstr(start, " event="))
+		return NULL;
+	before = g_strndup(line, (gsize)(start - line - 2));
+	g_strstrip(before);
+	word = strrchr(before, ' ');
+	word = word ? word + 1 : before;
+	entry = g_new0(struct log_entry, 1);
+	entry->text = g_strdup(start + 1);
+	entry->values = read_pairs(entry->text);
+	entry->source = *word ? g_strdup(word) : g_path_get_basename(file);
+	if (log_entry_get(entry, "at"))
+		entry->at_ms =
+			g_ascii_strtoll(log_entry_get(entry, "at"), NULL, 10);
+	return entry;
+}
+
+static bool read_file(const char *name,
+		      void (*take)(struct log_entry *entry, void *user),
+		      void *user, guint *n_read)
+{
+	bool is_input = !strcmp(name, "-");
+	FILE *file = is_input ? stdin : fopen(name, "re");
+	char line[LINE_MAX_BYTES];
+
+	if (!file) {
+		fprintf(stderr, "cuminsail: %s: %s\n", name, g_strerror(errno));
+		return false;
+	}
+	while (fgets(line, sizeof(line), file)) {
+		struct log_entry *entry;
+
+		line[strcspn(line, "\n")] = '\0';
+		entry = read_entry(is_input ? "stdin" : name, line);
+		if (!entry)
+			continue;
+		entry->number = (*n_read)++;
+		take(entry, user);
+	}
+	if (!is_input)
+		(void)fclose(file);
+	return true;
+}
+
+bool logs_read(const struct client *client,
+	       void (*take)(struct log_entry *entry, void *user), void *user,
+	       guint *n_read)
+{
+	bool good = true;
+
+	for (guint i = 0; i < client->logs->len; i++)
+		good = read_file(client->logs->pdata[i], take, user, n_read) &&
+		       good;
+	return good;
+}
--- a/src/cuminsail/main.c
+++ b/src/cuminsail/main.c
@@ -19,7 +19,8 @@
 	{"diff", 2, client_diff},	    {"status", 0, client_status},
 	{"upstreams", 0, client_upstreams}, {"zones", 0, client_zones},
 	{"config", 0, client_config},	    {"why", 1, client_why},
-	{"load", 1, client_load},	    {"keys", 0, client_keys},
+	{"report", 0, client_report},	    {"load", 1, client_load},
+	{"keys", 0, client_keys},
 };
 
 struct arguments {
@@ -33,7 +34,7 @@
 	 "(default " DEFAULT_DAEMON ")",
 	 0},
 	{"logs", 'l', "FILE", 0,
-	 "Read why from daemons' logs, - for standard input; may be given "
+	 "Daemons' logs for why and report, - for standard input; may be given "
 	 "several times",
 	 0},
 	{"record", 'r', "FILE", 0, "Write each exchange of a load to FILE", 0},
@@ -107,7 +108,7 @@
 	.options = options,
 	.parser = parse_option,
 	.args_doc = "check DIR\nmerge DIR\ndiff DIR DIR\nstatus\nupstreams\n"
-		    "zones\nconfig\nwhy REQUEST-ID\nload PLAN\nkeys",
+		    "zones\nconfig\nwhy REQUEST-ID\nreport\nload PLAN\nkeys",
 	.doc = "Check configurations and ask daemons.\v"
 	       "Exit codes: 0 good; 1 the answer is no (invalid, different, "
 	       "a daemon lags, not found); 2 usage; 3 a daemon could not be "
--- a/test/client.sh
+++ b/test/client.sh
@@ -67,6 +67,20 @@
 expect 0 'request r2' sh -c "$BIN/cuminsail why r2 -l - <'$WORK/d1.log'"
 expect 1 'no line of r9 in 6 lines' $BIN/cuminsail why r9 -l "$WORK/d1.log"
 expect 3 'none.log: No such file' $BIN/cuminsail why r1 -l "$WORK/none.log"
+cat >"$WORK/day.log" <<'END'
+<6>at=5000 event=request id=a outcome=answered status=200 elapsed_ms=10.0
+<6>at=5100 event=request id=b outcome=partial status=200 elapsed_ms=30.0
+<6>at=5200 event=refused id=c reason=not-ready
+<6>at=7000 event=request id=d outcome=lost status=502 elapsed_ms=3.0
+<6>at=7001 event=request id=e outcome=overload status=503 elapsed_ms=3.0
+<6>at=7002 event=hedge id=e replica=u1
+<5>at=7003 event=log-left-out of=hedge lines=12
+END
+expect 0 '^0 +3 +1 +1 +1 +0 +30.0 +30.0 +0 +0 +0$' $BIN/cuminsail report -l "$WORK/day.log"
+expect 0 '^2 +2 +0 +0 +1 +1 +- +- +1 +0 +0$' $BIN/cuminsail report -l "$WORK/day.log"
+expect 0 'left out 12 lines' $BIN/cuminsail report -l "$WORK/day.log"
+expect 0 '"p99_ms": 30.0' $BIN/cuminsail --json report -l "$WORK/day.log"
+expect 1 'second' $BIN/cuminsail report -l /dev/null
 if $BIN/cuminsail why r1 -l "$WORK/d1.log" | grep -q u2; then
 	echo "client: why tells of a replica that the request did not meet"
 	bad=1
