cuminsail check takes a platform's routes

Change: `check FILE` decodes the file as the daemon does, through platform/, and says version, routes and services, or code, path and cause. Cases in test/client.sh: good, a figure out of range, a text cut short.

--- a/src/cuminsail/folder.c
+++ b/src/cuminsail/folder.c
@@ -3,6 +3,7 @@
 
 #include "cuminsail/config.h"
 #include "cuminsail/error.h"
+#include "platform_adapter.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -37,9 +38,40 @@
 	return config;
 }
 
-enum client_exit client_check(const struct client *client)
+/* A configuration as the users' platform holds it: the value of its key. */
+static enum client_exit check_routes(const char *file)
+{
+	g_autofree char *text = NULL;
+	g_autofree char *why = NULL;
+	g_autoptr(GError) unread = NULL;
+	gsize length;
+	int error = CS_E_JSON;
+	json_t *document;
+	struct route_table *table = NULL;
+
+	if (!g_file_get_contents(file, &text, &length, &unread)) {
+		fprintf(stderr, "%s\n", unread->message);
+		return CLIENT_BAD;
+	}
+	document = cs_json_parse(text, length, &why);
+	if (document)
+		table = platform_decode_table(document, &error, &why);
+	json_decref(document);
+	if (!table) {
+		fprintf(stderr, "%s: %s: %s\n", file, cs_error_name(error),
+			why);
+		return CLIENT_BAD;
+	}
+	printf("%s: good, version %" G_GINT64_FORMAT
+	       ", %u routes, %u services\n",
+	       file, table->version, table->routes->len,
+	       g_hash_table_size(table->services));
+	route_table_unref(table);
+	return CLIENT_GOOD;
+}
+
+static enum client_exit check_folder(const char *directory)
 {
-	const char *directory = client->arguments->pdata[0];
 	json_t *document = merge_folder(directory);
 	bool good = document && check_document(directory, document);
 
@@ -52,6 +84,14 @@
 	return good ? CLIENT_GOOD : CLIENT_BAD;
 }
 
+enum client_exit client_check(const struct client *client)
+{
+	const char *path = client->arguments->pdata[0];
+
+	return g_file_test(path, G_FILE_TEST_IS_REGULAR) ? check_routes(path)
+							 : check_folder(path);
+}
+
 enum client_exit client_merge(const struct client *client)
 {
 	json_t *document = merge_folder(client->arguments->pdata[0]);
--- a/src/cuminsail/main.c
+++ b/src/cuminsail/main.c
@@ -107,8 +107,9 @@
 static const struct argp argp = {
 	.options = options,
 	.parser = parse_option,
-	.args_doc = "check DIR\nmerge DIR\ndiff DIR DIR\nstatus\nupstreams\n"
-		    "zones\nconfig\nwhy REQUEST-ID\nreport\nload PLAN\nkeys",
+	.args_doc =
+		"check DIR|FILE\nmerge DIR\ndiff DIR DIR\nstatus\nupstreams\n"
+		"zones\nconfig\nwhy REQUEST-ID\nreport\nload PLAN\nkeys",
 	.doc = "Check configurations and ask daemons.\v"
 	       "Exit codes: 0 good; 1 the answer is no (invalid, different, "
 	       "a daemon lags, not found); 2 usage; 3 a daemon could not be "
--- a/test/client.sh
+++ b/test/client.sh
@@ -46,6 +46,18 @@
 expect 2 'takes 1 argument' $BIN/cuminsail check
 expect 3 'refused' $BIN/cuminsail -d 127.0.0.1:1 status
 
+# A platform's routes, good and bad.
+cat >"$WORK/routes.json" <<'END'
+{"version": 7, "routes": [{"name": "r", "host": "h", "prefix": "/a/", "service": "s",
+ "routeType": "idempotent", "timeoutMs": 500, "targetLatencyMs": 100, "maxAttempts": 2,
+ "priority": 1}], "services": [{"name": "s", "maxConnections": 3, "warmupPerS": 0}]}
+END
+expect 0 'routes.json: good, version 7, 1 routes, 1 services' $BIN/cuminsail check "$WORK/routes.json"
+sed 's/500/-5/' "$WORK/routes.json" >"$WORK/routes2.json"
+expect 1 'routes2.json: out-of-range: .*timeoutMs' $BIN/cuminsail check "$WORK/routes2.json"
+head -c 90 "$WORK/routes.json" >"$WORK/routes3.json"
+expect 1 'routes3.json: bad-json: line' $BIN/cuminsail check "$WORK/routes3.json"
+
 # Logs of two daemons, one behind what a collector adds.
 cat >"$WORK/d1.log" <<'END'
 <5>at=1000 event=table-taken version=3
