Outliers in place of told replicas: the field's names

The code that daemons share what they see by spoke of words, telling and notable replicas; the field calls these outliers, as outlier detection.

--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -256,10 +256,10 @@
 	gint64 failed_us; /* when it last moved */
 	guint failure_run;
 	gint64 suspect_until_us;
-	struct route_tally unsaid; /* since the last report */
+	struct route_tally unreported; /* since the last report */
 	struct route_evidence pooled; /* from the reports of many daemons */
-	gint64 notable_us; /* since when that is worth telling; 0: it is not */
-	struct route_evidence told; /* by a daemon that pools them */
+	gint64 outlier_us; /* since when they show an outlier; 0: they do not */
+	struct route_evidence shared; /* by a daemon that pools them */
 	double cold_tokens;
 	gint64 cold_filled_us;
 	void *owner_data; /* the owner's; set before the first use */
@@ -592,21 +592,21 @@
 			     const struct route_tally *tally, gint64 now_us);
 
 /**
- * route_fleet_notable - replicas that the pooled reports show slow or failing
+ * route_fleet_outliers - replicas that the pooled reports show slow or failing
  * @fleet: a fleet
  * @most: replicas to visit
  * @now_us: the clock
  * @visit: called with each
  * @user: passed on
  */
-void route_fleet_notable(struct route_fleet *fleet, guint most, gint64 now_us,
-			 void (*visit)(const char *id,
-				       const struct route_evidence *evidence,
-				       void *user),
-			 void *user);
+void route_fleet_outliers(struct route_fleet *fleet, guint most, gint64 now_us,
+			  void (*visit)(const char *id,
+					const struct route_evidence *evidence,
+					void *user),
+			  void *user);
 
 /**
- * route_fleet_tell - take the word of a daemon that pools reports
+ * route_fleet_take_outlier - take what a daemon that pools reports found
  * @fleet: a fleet
  * @id: a replica; an unknown one is left aside
  * @evidence: what it is said to be like, and when that was said
@@ -616,20 +616,20 @@
  *
  * Return: true if the replica was thought usual before.
  */
-bool route_fleet_tell(struct route_fleet *fleet, const char *id,
-		      const struct route_evidence *evidence);
+bool route_fleet_take_outlier(struct route_fleet *fleet, const char *id,
+			      const struct route_evidence *evidence);
 
 /**
- * route_fleet_tell_end - all that is notable has been told
+ * route_fleet_end_outliers - all outliers have been taken
  * @fleet: a fleet
- * @now_us: as in the calls of route_fleet_tell() before
- * @visit: called with each replica that was told of earlier, and not this
- *	time: it is usual again
+ * @now_us: as in the calls of route_fleet_take_outlier() before
+ * @visit: called with each replica that was an outlier earlier, and is not
+ *	this time: it is usual again
  * @user: passed on
  */
-void route_fleet_tell_end(struct route_fleet *fleet, gint64 now_us,
-			  void (*visit)(const char *id, void *user),
-			  void *user);
+void route_fleet_end_outliers(struct route_fleet *fleet, gint64 now_us,
+			      void (*visit)(const char *id, void *user),
+			      void *user);
 
 /* ---- merging ---- */
 
--- a/src/cuminsail/story.c
+++ b/src/cuminsail/story.c
@@ -26,7 +26,7 @@
 	if (!event)
 		return NULL;
 	if (replica &&
-	    (!strcmp(event, "replica") || !strcmp(event, "replica-told")))
+	    (!strcmp(event, "replica") || !strcmp(event, "replica-outlier")))
 		return g_strconcat(entry->source, " ", event, " ", replica,
 				   NULL);
 	if (!strcmp(event, "table-taken"))
@@ -90,7 +90,7 @@
 /* What was believed of each replica that the request's lines name. */
 static void print_beliefs(const struct story *story, gint64 from_ms)
 {
-	g_autoptr(GHashTable) told = g_hash_table_new(g_str_hash, g_str_equal);
+	g_autoptr(GHashTable) seen = g_hash_table_new(g_str_hash, g_str_equal);
 
 	print_belief(story, story->entries->pdata[0], "table-taken", NULL,
 		     from_ms);
@@ -98,10 +98,10 @@
 		const struct log_entry *entry = story->entries->pdata[i];
 		const char *replica = log_entry_get(entry, "replica");
 
-		if (!replica || !g_hash_table_add(told, (gpointer)replica))
+		if (!replica || !g_hash_table_add(seen, (gpointer)replica))
 			continue;
 		print_belief(story, entry, "replica", replica, from_ms);
-		print_belief(story, entry, "replica-told", replica, from_ms);
+		print_belief(story, entry, "replica-outlier", replica, from_ms);
 	}
 }
 
--- a/src/libforward/evidence.c
+++ b/src/libforward/evidence.c
@@ -1,6 +1,6 @@
 /*
  * The figures about replicas that daemons exchange with the seed they follow:
- * a report in the call, the seed's word in its answer.
+ * a report in the call, the outliers in the seed's answer.
  */
 #include "internal.h"
 
@@ -8,12 +8,12 @@
 
 #include <stdlib.h>
 
-/* Replicas in one report, and in one word: about 1.5 KB each at one call a
- * second, of 9 KB a second for all of control. */
-#define REPORT_MAX 60
-#define WORD_MAX   60
+/* Replicas in one report, and outliers in one answer: about 1.5 KB each at one
+ * call a second, of 9 KB a second for all of control. */
+#define REPORT_MAX   60
+#define OUTLIERS_MAX 60
 
-/* What a word may say of a replica's slowness. */
+/* Greatest slowness that is taken. */
 #define SLOWNESS_MAX 1000.0
 
 /* Fields of one replica in a report. */
@@ -85,7 +85,7 @@
 		if (!**word)
 			continue;
 		if (!id || !read_tally(fields, &tally)) {
-			cs_log(LOG_WARNING, "report-invalid", "word", *word,
+			cs_log(LOG_WARNING, "report-invalid", "text", *word,
 			       NULL);
 			return;
 		}
@@ -93,48 +93,48 @@
 	}
 }
 
-/* ---- words ---- */
+/* ---- outliers ---- */
 
-static void log_told(const char *id, const char *state,
-		     const struct route_evidence *evidence)
+static void log_outlier(const char *id, const char *state,
+			const struct route_evidence *evidence)
 {
 	char slowness[FIGURE_TEXT];
 	char failures[FIGURE_TEXT];
 
 	g_snprintf(slowness, sizeof(slowness), "%.1f", evidence->slowness);
 	g_snprintf(failures, sizeof(failures), "%.2f", evidence->failure_rate);
-	cs_log(LOG_INFO, "replica-told", "replica", id, "state", state,
+	cs_log(LOG_INFO, "replica-outlier", "replica", id, "state", state,
 	       "slowness", slowness, "failure_rate", failures, NULL);
 }
 
-static void tell(struct forward_engine *engine, const char *id,
-		 const struct route_evidence *evidence)
+static void take_outlier(struct forward_engine *engine, const char *id,
+			 const struct route_evidence *evidence)
 {
-	if (route_fleet_tell(engine->fleet, id, evidence))
-		log_told(id, "notable", evidence);
+	if (route_fleet_take_outlier(engine->fleet, id, evidence))
+		log_outlier(id, "outlier", evidence);
 }
 
 static void on_usual(const char *id, void *user)
 {
 	static const struct route_evidence usual = {.slowness = 1};
 
-	log_told(id, "usual", &usual);
+	log_outlier(id, "usual", &usual);
 }
 
-struct wording {
+struct outlier_list {
 	struct forward_engine *engine;
-	json_t *word;
+	json_t *items;
 };
 
-static void add_notable(const char *id, const struct route_evidence *evidence,
+static void add_outlier(const char *id, const struct route_evidence *evidence,
 			void *user)
 {
-	struct wording *wording = user;
+	struct outlier_list *list = user;
 
-	json_array_append_new(wording->word,
+	json_array_append_new(list->items,
 			      json_pack("[s, f, f]", id, evidence->slowness,
 					evidence->failure_rate));
-	tell(wording->engine, id, evidence);
+	take_outlier(list->engine, id, evidence);
 }
 
 static void pool_own(const char *id, const struct route_tally *tally,
@@ -145,16 +145,16 @@
 	route_fleet_pool_report(engine->fleet, id, tally, forward_now(engine));
 }
 
-json_t *forward_evidence_word(struct forward_engine *engine)
+json_t *forward_evidence_outliers(struct forward_engine *engine)
 {
-	struct wording wording = {engine, json_array()};
+	struct outlier_list list = {engine, json_array()};
 	gint64 now = forward_now(engine);
 
 	route_fleet_report(engine->fleet, G_MAXUINT, now, pool_own, engine);
-	route_fleet_notable(engine->fleet, WORD_MAX, now, add_notable,
-			    &wording);
-	route_fleet_tell_end(engine->fleet, now, on_usual, NULL);
-	return wording.word;
+	route_fleet_outliers(engine->fleet, OUTLIERS_MAX, now, add_outlier,
+			     &list);
+	route_fleet_end_outliers(engine->fleet, now, on_usual, NULL);
+	return list.items;
 }
 
 static bool take_one(struct forward_engine *engine, json_t *item, gint64 now)
@@ -168,19 +168,19 @@
 	if (!(evidence.slowness > 0 && evidence.slowness <= SLOWNESS_MAX &&
 	      evidence.failure_rate >= 0 && evidence.failure_rate <= 1))
 		return false;
-	tell(engine, id, &evidence);
+	take_outlier(engine, id, &evidence);
 	return true;
 }
 
-void forward_evidence_take(struct forward_engine *engine, json_t *word)
+void forward_evidence_take(struct forward_engine *engine, json_t *outliers)
 {
 	gint64 now = forward_now(engine);
 	gsize i;
 	json_t *item;
 
-	json_array_foreach (word, i, item) {
+	json_array_foreach (outliers, i, item) {
 		if (!take_one(engine, item, now))
-			cs_log(LOG_WARNING, "word-invalid", NULL);
+			cs_log(LOG_WARNING, "outlier-invalid", NULL);
 	}
-	route_fleet_tell_end(engine->fleet, now, on_usual, NULL);
+	route_fleet_end_outliers(engine->fleet, now, on_usual, NULL);
 }
--- a/src/libforward/follow.c
+++ b/src/libforward/follow.c
@@ -277,7 +277,7 @@
 	/* A seed pools what its own followers see. */
 	if (!follow->is_seed)
 		forward_evidence_take(follow->engine,
-				      json_object_get(document, "replicas"));
+				      json_object_get(document, "outliers"));
 	set_counts(follow);
 	return true;
 }
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -251,12 +251,12 @@
 /* Pools the report of a daemon that follows this one. */
 void forward_evidence_pool(struct forward_engine *engine, const char *report);
 
-/* A seed's word: new, of replicas that are slow or fail. The seed takes it
- * itself. */
-json_t *forward_evidence_word(struct forward_engine *engine);
+/* The outliers among the replicas, as a new array. The seed takes them itself.
+ */
+json_t *forward_evidence_outliers(struct forward_engine *engine);
 
-/* Takes a seed's word; what does not fit is logged and left out. */
-void forward_evidence_take(struct forward_engine *engine, json_t *word);
+/* Takes a seed's outliers; what does not fit is logged and left out. */
+void forward_evidence_take(struct forward_engine *engine, json_t *outliers);
 
 /* follow.c: what this one asks of the seeds. */
 struct forward_follow *forward_follow_create(
--- a/src/libforward/peers.c
+++ b/src/libforward/peers.c
@@ -27,9 +27,9 @@
 /* The counts are made anew after this time: shares may lag a little. */
 #define COUNT_US (200 * CS_US_PER_MS)
 
-/* So is the word about the replicas: a quarter of the time between two calls of
- * a daemon. */
-#define WORD_AGAIN_US (250 * CS_US_PER_MS)
+/* So are the outliers among the replicas: a quarter of the time between two
+ * calls of a daemon. */
+#define OUTLIERS_AGAIN_US (250 * CS_US_PER_MS)
 
 /* Texts kept of one revision: one for each that a caller may still have. */
 #define TEXTS_MAX 8
@@ -67,9 +67,9 @@
 	/* Most callers ask after a few revisions: their texts are made once. */
 	GHashTable *texts; /* revision asked after to packed text */
 	gint64 texts_revision;
-	/* What is said of the replicas, made anew once in a while. */
-	char *word;
-	gint64 word_us;
+	/* The outliers among the replicas, made anew once in a while. */
+	char *outliers;
+	gint64 outliers_us;
 	/* How many daemons each zone has, counted once in a while. */
 	GHashTable *counts;
 	guint total;
@@ -278,20 +278,20 @@
 	return packed;
 }
 
-/* Return: what is said of the replicas as text; owned by @peers. */
-static const char *word_text(struct forward_peers *peers)
+/* Return: the outliers as text; owned by @peers. */
+static const char *outliers_text(struct forward_peers *peers)
 {
 	gint64 now = forward_now(peers->engine);
-	json_t *word;
-
-	if (peers->word && now - peers->word_us < WORD_AGAIN_US)
-		return peers->word;
-	word = forward_evidence_word(peers->engine);
-	g_free(peers->word);
-	peers->word = cs_json_print(word);
-	peers->word_us = now;
-	json_decref(word);
-	return peers->word;
+	json_t *outliers;
+
+	if (peers->outliers && now - peers->outliers_us < OUTLIERS_AGAIN_US)
+		return peers->outliers;
+	outliers = forward_evidence_outliers(peers->engine);
+	g_free(peers->outliers);
+	peers->outliers = cs_json_print(outliers);
+	peers->outliers_us = now;
+	json_decref(outliers);
+	return peers->outliers;
 }
 
 static void answer(struct forward_peers *peers, struct http1_exchange *exchange,
@@ -305,10 +305,10 @@
 
 	g_string_printf(body,
 			"{\"daemons\": %u, \"daemons_in_zone\": %u, "
-			"\"age_ms\": %" G_GINT64_FORMAT ", \"replicas\": %s",
+			"\"age_ms\": %" G_GINT64_FORMAT ", \"outliers\": %s",
 			peers->total, in_zone,
 			forward_picture_age(peers->engine) / CS_US_PER_MS,
-			word_text(peers));
+			outliers_text(peers));
 	if (picture)
 		g_string_append_printf(body, ", \"picture\": \"%s\"", picture);
 	g_string_append_c(body, '}');
@@ -469,6 +469,6 @@
 	g_hash_table_unref(peers->heard);
 	g_hash_table_unref(peers->counts);
 	g_hash_table_unref(peers->texts);
-	g_free(peers->word);
+	g_free(peers->outliers);
 	g_free(peers);
 }
--- a/src/libroute/estimate.c
+++ b/src/libroute/estimate.c
@@ -155,13 +155,13 @@
 /* ---- answers ---- */
 
 /* What is left of a replica's slowness after the age of the last sample, or of
- * a later word of others. */
+ * a later report shared by others. */
 static double slowness_of(const struct route_replica *replica, gint64 now_us)
 {
-	const struct route_evidence *told = &replica->told;
-	bool is_told = told->at_us > replica->sampled_us;
-	double slowness = is_told ? told->slowness : replica->slowness;
-	gint64 at_us = is_told ? told->at_us : replica->sampled_us;
+	const struct route_evidence *shared = &replica->shared;
+	bool is_shared = shared->at_us > replica->sampled_us;
+	double slowness = is_shared ? shared->slowness : replica->slowness;
+	gint64 at_us = is_shared ? shared->at_us : replica->sampled_us;
 	double weight;
 
 	if (!at_us)
@@ -187,10 +187,10 @@
 
 double route_failure_rate(const struct route_replica *replica, gint64 now_us)
 {
-	const struct route_evidence *told = &replica->told;
+	const struct route_evidence *shared = &replica->shared;
 
-	if (told->at_us > replica->failed_us)
-		return told->failure_rate * say(now_us - told->at_us);
+	if (shared->at_us > replica->failed_us)
+		return shared->failure_rate * say(now_us - shared->at_us);
 	return replica->failure_rate * say(now_us - replica->failed_us);
 }
 
@@ -212,8 +212,8 @@
 	double spent = MAX(sample_us - route_round_trip_us(replica), 100.0);
 	double ratio = spent / work->us;
 
-	replica->unsaid.answers++;
-	replica->unsaid.slowness += MIN(ratio, TALLY_MAX);
+	replica->unreported.answers++;
+	replica->unreported.slowness += MIN(ratio, TALLY_MAX);
 	ratio = CLAMP(ratio, SLOWNESS_MIN, SAMPLE_FACTOR_MAX * slowness);
 	move(&work->deviation, fabs(ratio / slowness - 1), WORK_WEIGHT);
 	move(&work->us, work->us * ratio / MAX(slowness, 1), WORK_WEIGHT);
@@ -225,7 +225,7 @@
 static void learn_failure(struct route_replica *replica, double failed,
 			  gint64 now_us)
 {
-	replica->unsaid.failures += failed > 0;
+	replica->unreported.failures += failed > 0;
 	replica->failure_rate = route_failure_rate(replica, now_us);
 	move(&replica->failure_rate, failed, FAILURE_WEIGHT);
 	replica->failed_us = now_us;
--- a/src/libroute/evidence.c
+++ b/src/libroute/evidence.c
@@ -21,14 +21,14 @@
 /* A report counts as at most this many times what is known. */
 #define GROWTH_MAX 3.0
 
-/* What is told: so slow that the way to another region is shorter, by the
+/* An outlier is so slow that the way to another region is shorter, by the
  * sites' figures, or failing more often than a connection is lost now and then.
  */
-#define NOTABLE_SLOWNESS 2.5
-#define NOTABLE_FAILURES 0.2
+#define OUTLIER_SLOWNESS 2.5
+#define OUTLIER_FAILURES 0.2
 
-/* It is told when it has lasted so long: above the longest pause. */
-#define NOTABLE_US (400 * CS_US_PER_MS)
+/* It is shared when it has lasted so long: above the longest pause. */
+#define OUTLIER_MIN_US (400 * CS_US_PER_MS)
 
 /* Reported before others. */
 #define ODD_SLOWNESS 1.6
@@ -50,8 +50,8 @@
 
 	if (!oldest || !route_is_overdue(oldest, now_us))
 		return;
-	replica->unsaid.answers++;
-	replica->unsaid.slowness +=
+	replica->unreported.answers++;
+	replica->unreported.slowness +=
 		(double)(now_us - oldest->sent_us) / oldest->work->us;
 }
 
@@ -72,7 +72,7 @@
 	g_hash_table_iter_init(&iter, fleet->replicas);
 	while (reporting->left && g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct route_replica *replica = value;
-		struct route_tally *tally = &replica->unsaid;
+		struct route_tally *tally = &replica->unreported;
 
 		if (!(tally->answers + tally->failures) || is_odd(tally) != odd)
 			continue;
@@ -122,10 +122,10 @@
 	return MIN(by_number, by_time);
 }
 
-static bool is_notable(const struct route_evidence *evidence)
+static bool is_outlier(const struct route_evidence *evidence)
 {
-	return evidence->slowness >= NOTABLE_SLOWNESS ||
-	       evidence->failure_rate >= NOTABLE_FAILURES;
+	return evidence->slowness >= OUTLIER_SLOWNESS ||
+	       evidence->failure_rate >= OUTLIER_FAILURES;
 }
 
 void route_fleet_pool_report(struct route_fleet *fleet, const char *id,
@@ -152,17 +152,17 @@
 	}
 	pooled->failure_rate += weight * ((double)tally->failures / attempts -
 					  pooled->failure_rate);
-	if (!is_notable(pooled))
-		replica->notable_us = 0;
-	else if (!replica->notable_us)
-		replica->notable_us = now_us;
+	if (!is_outlier(pooled))
+		replica->outlier_us = 0;
+	else if (!replica->outlier_us)
+		replica->outlier_us = now_us;
 }
 
-void route_fleet_notable(struct route_fleet *fleet, guint most, gint64 now_us,
-			 void (*visit)(const char *id,
-				       const struct route_evidence *evidence,
-				       void *user),
-			 void *user)
+void route_fleet_outliers(struct route_fleet *fleet, guint most, gint64 now_us,
+			  void (*visit)(const char *id,
+					const struct route_evidence *evidence,
+					void *user),
+			  void *user)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -172,11 +172,11 @@
 		const struct route_replica *replica = value;
 		struct route_evidence now;
 
-		if (!replica->notable_us ||
-		    now_us - replica->notable_us < NOTABLE_US)
+		if (!replica->outlier_us ||
+		    now_us - replica->outlier_us < OUTLIER_MIN_US)
 			continue;
 		now = faded(&replica->pooled, now_us);
-		if (!is_notable(&now))
+		if (!is_outlier(&now))
 			continue;
 		visit(replica->id, &now, user);
 		most--;
@@ -188,8 +188,8 @@
 	return evidence->slowness <= 1 && evidence->failure_rate <= 0;
 }
 
-bool route_fleet_tell(struct route_fleet *fleet, const char *id,
-		      const struct route_evidence *evidence)
+bool route_fleet_take_outlier(struct route_fleet *fleet, const char *id,
+			      const struct route_evidence *evidence)
 {
 	struct route_replica *replica =
 		g_hash_table_lookup(fleet->replicas, id);
@@ -197,13 +197,14 @@
 
 	if (!replica)
 		return false;
-	is_new = !replica->told.at_us || is_usual(&replica->told);
-	replica->told = *evidence;
+	is_new = !replica->shared.at_us || is_usual(&replica->shared);
+	replica->shared = *evidence;
 	return is_new;
 }
 
-void route_fleet_tell_end(struct route_fleet *fleet, gint64 now_us,
-			  void (*visit)(const char *id, void *user), void *user)
+void route_fleet_end_outliers(struct route_fleet *fleet, gint64 now_us,
+			      void (*visit)(const char *id, void *user),
+			      void *user)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -211,11 +212,13 @@
 	g_hash_table_iter_init(&iter, fleet->replicas);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct route_replica *replica = value;
-		struct route_evidence *told = &replica->told;
+		struct route_evidence *shared = &replica->shared;
 
-		if (!told->at_us || told->at_us == now_us || is_usual(told))
+		if (!shared->at_us || shared->at_us == now_us ||
+		    is_usual(shared))
 			continue;
-		*told = (struct route_evidence){.slowness = 1, .at_us = now_us};
+		*shared =
+			(struct route_evidence){.slowness = 1, .at_us = now_us};
 		visit(replica->id, user);
 	}
 }
--- a/test/unit/test_evidence.c
+++ b/test/unit/test_evidence.c
@@ -1,5 +1,5 @@
 /*
- * What daemons tell each other of replicas, played in steps of simulated time:
+ * What daemons share of replicas, played in steps of simulated time:
  * each of 30 daemons asks the near replica once a second, as on a large
  * deployment, and reports to a seed once a second.
  */
@@ -93,10 +93,10 @@
 	route_fleet_pool_report(play->seed.fleet, id, tally, play->now_us);
 }
 
-static void take_word(const char *id, const struct route_evidence *evidence,
-		      void *user)
+static void take_outlier(const char *id, const struct route_evidence *evidence,
+			 void *user)
 {
-	route_fleet_tell(user, id, evidence);
+	route_fleet_take_outlier(user, id, evidence);
 }
 
 static void on_usual(const char *id, void *user)
@@ -106,9 +106,9 @@
 static void report(struct play *play, struct route_fleet *fleet)
 {
 	route_fleet_report(fleet, 60, play->now_us, take_report, play);
-	route_fleet_notable(play->seed.fleet, 60, play->now_us, take_word,
-			    fleet);
-	route_fleet_tell_end(fleet, play->now_us, on_usual, NULL);
+	route_fleet_outliers(play->seed.fleet, 60, play->now_us, take_outlier,
+			     fleet);
+	route_fleet_end_outliers(fleet, play->now_us, on_usual, NULL);
 }
 
 static void step(struct play *play, guint i)
@@ -177,8 +177,8 @@
 }
 END_TEST
 
-/* Daemons that were told anything of the near replica. */
-static guint count_told(struct play *play)
+/* Daemons that took the near replica for an outlier. */
+static guint count_taken(struct play *play)
 {
 	guint n = 0;
 
@@ -188,7 +188,7 @@
 
 		if (strcmp(replica->id, "near") != 0)
 			replica = picture_choose(p, replica);
-		n += replica->told.at_us != 0;
+		n += replica->shared.at_us != 0;
 	}
 	return n;
 }
@@ -210,12 +210,11 @@
 						  DAEMONS * 9 / 10);
 		}
 	}
-	ck_assert_uint_eq(count_told(play), 0);
+	ck_assert_uint_eq(count_taken(play), 0);
 	play_destroy(play);
 }
 END_TEST
 
-/* Told, then seen. */
 START_TEST(what_a_daemon_sees_itself_counts_more)
 {
 	struct picture p = picture_create();
@@ -227,42 +226,42 @@
 	for (int i = 0; i < 50; i++)
 		picture_ask(&p, near, ROUTE_GOOD, WORK_US);
 	evidence.at_us = p.now + 1;
-	ck_assert(route_fleet_tell(p.fleet, "near", &evidence));
-	ck_assert(!route_fleet_tell(p.fleet, "near", &evidence));
-	ck_assert(!route_fleet_tell(p.fleet, "nobody", &evidence));
+	ck_assert(route_fleet_take_outlier(p.fleet, "near", &evidence));
+	ck_assert(!route_fleet_take_outlier(p.fleet, "near", &evidence));
+	ck_assert(!route_fleet_take_outlier(p.fleet, "nobody", &evidence));
 	p.now++;
 	ck_assert_str_eq(picture_chosen(&p), "far");
 	/* Its own answers bring it back. */
 	for (int i = 0; i < 12; i++)
 		picture_ask(&p, near, ROUTE_GOOD, WORK_US);
 	ck_assert_str_eq(picture_chosen(&p), "near");
-	/* And so does the end of the word. */
+	/* And so does its end as an outlier. */
 	evidence.at_us = p.now + 1;
-	route_fleet_tell(p.fleet, "near", &evidence);
+	route_fleet_take_outlier(p.fleet, "near", &evidence);
 	p.now += 1000 * MS;
 	ck_assert_str_eq(picture_chosen(&p), "far");
-	route_fleet_tell_end(p.fleet, p.now, on_usual, NULL);
+	route_fleet_end_outliers(p.fleet, p.now, on_usual, NULL);
 	ck_assert_str_eq(picture_chosen(&p), "near");
 	picture_destroy(&p);
 }
 END_TEST
 
-static void count_notable(const char *id, const struct route_evidence *evidence,
+static void count_outlier(const char *id, const struct route_evidence *evidence,
 			  void *user)
 {
 	(*(guint *)user)++;
 }
 
-static guint notable(const struct picture *p)
+static guint count_outliers(const struct picture *p)
 {
 	guint n = 0;
 
-	route_fleet_notable(p->fleet, 60, p->now, count_notable, &n);
+	route_fleet_outliers(p->fleet, 60, p->now, count_outlier, &n);
 	return n;
 }
 
-/* pliega-busca-grown: after a restart replicas that had failed were told of as
- * failing again by their first good answer, up to 20 s later. */
+/* pliega-busca-grown: after a restart replicas that had failed became outliers
+ * again by their first good answer, up to 20 s later. */
 START_TEST(old_failures_count_less_when_news_comes)
 {
 	static const struct route_tally bad = {.failures = 1};
@@ -274,13 +273,13 @@
 		route_fleet_pool_report(p.fleet, "near", &bad, p.now);
 		p.now += 50 * MS;
 	}
-	ck_assert_uint_eq(notable(&p), 1);
+	ck_assert_uint_eq(count_outliers(&p), 1);
 	/* Nobody asked it for some time. */
 	p.now += 9 * CS_US_PER_S;
-	ck_assert_uint_eq(notable(&p), 0);
+	ck_assert_uint_eq(count_outliers(&p), 0);
 	route_fleet_pool_report(p.fleet, "near", &good, p.now);
 	p.now += 500 * MS;
-	ck_assert_uint_eq(notable(&p), 0);
+	ck_assert_uint_eq(count_outliers(&p), 0);
 	picture_destroy(&p);
 }
 END_TEST
--- a/test/unit/test_follow.c
+++ b/test/unit/test_follow.c
@@ -370,9 +370,9 @@
 	}
 	/* The other has never asked it, and neither have the seeds. */
 	ck_assert_int_eq(replica_of(&followers[1])->sampled_us, 0);
-	ck_assert(replica_of(&followers[1])->told.slowness > 2);
-	ck_assert(replica_of(&seeds[0])->told.slowness > 2 ||
-		  replica_of(&seeds[1])->told.slowness > 2);
+	ck_assert(replica_of(&followers[1])->shared.slowness > 2);
+	ck_assert(replica_of(&seeds[0])->shared.slowness > 2 ||
+		  replica_of(&seeds[1])->shared.slowness > 2);
 	for (guint i = 0; i < SEEDS; i++)
 		end(&seeds[i]);
 	for (guint i = 0; i < 2; i++)
@@ -381,14 +381,14 @@
 }
 END_TEST
 
-/* A report is left at the first word that is none; the rest goes on. */
-START_TEST(damaged_reports_and_words_change_nothing)
+/* A report is left at the first item that is none; the rest goes on. */
+START_TEST(damaged_reports_and_outliers_change_nothing)
 {
 	static const char *const reports[] = {
 		"u%253A1:1:0", "u%253A1:1:0:x",	    "u%253A1:-1:0:900", ":::",
 		":",	       "u%253A1:1:0:900:1", "nobody:5:5:900",	"",
 	};
-	static const char *const words[] = {
+	static const char *const outliers[] = {
 		"[[\"u:1\", 9]]",     "[[\"u:1\", \"9\", 0]]", "[[7, 9, 0]]",
 		"[[\"u:1\", -1, 0]]", "[[\"u:1\", 9, 2]]",     "[7]",
 		"{\"u:1\": 9}",	      "[[\"u:1\", 1e9, 0]]",
@@ -417,11 +417,11 @@
 	}
 	ck_assert_int_eq(replica_of(&seed)->pooled.at_us, 0);
 	end(&seed);
-	for (gsize i = 0; i < G_N_ELEMENTS(words); i++) {
+	for (gsize i = 0; i < G_N_ELEMENTS(outliers); i++) {
 		g_autofree char *body = g_strdup_printf(
 			"{\"daemons\": 2, \"daemons_in_zone\": 1, "
-			"\"age_ms\": 0, \"replicas\": %s}",
-			words[i]);
+			"\"age_ms\": 0, \"outliers\": %s}",
+			outliers[i]);
 		g_autofree char *reply = g_strdup_printf(
 			"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
 			strlen(body), body);
@@ -434,7 +434,7 @@
 		list_replica(&follower);
 		net_pass(&net, 200);
 		ck_assert_uint_gt(script->requests, 0);
-		ck_assert_int_eq(replica_of(&follower)->told.at_us, 0);
+		ck_assert_int_eq(replica_of(&follower)->shared.at_us, 0);
 		end(&follower);
 		net_script_destroy(script);
 	}
@@ -478,5 +478,5 @@
 	  a_seed_lets_callers_wait_for_its_first_picture,
 	  each_daemon_counts_once_whatever_seed_it_calls,
 	  what_one_daemon_sees_reaches_the_others_by_the_seed,
-	  damaged_reports_and_words_change_nothing,
+	  damaged_reports_and_outliers_change_nothing,
 	  a_seed_with_a_damaged_picture_is_left)
