A seed may name 2,600 callers in its call

Cause: read while reviewing the calls between daemons: a seed names those that call it, 25 bytes each, and the other seeds refused a head over 16 KB with 431: from some 650 callers on, fewer than the 667 of the target, seeds would have left each other for good. The new reports could reach it as well with long ids.

Change: heads on the control address may have 64 KB (the parser takes 80); a report ends at 8 KB. Test: a_seed_may_name_very_many_callers, red before.

--- a/src/libforward/engine.c
+++ b/src/libforward/engine.c
@@ -25,6 +25,10 @@
 
 /* Bounds for callers until the first table names its own. */
 #define HEAD_BYTES_FIRST 16384
+
+/* A seed names those that call it in a call of its own, 25 bytes each: 2,600 of
+ * them. The parser takes 80 KB at most. */
+#define PAGE_HEAD_BYTES	 65536
 #define BODY_BYTES_FIRST 262144
 #define HEAD_MS_FIRST	 3000
 #define IDLE_MS_FIRST	 15000
@@ -298,6 +302,7 @@
 	take_limits(engine, &first);
 	engine->caller_limits.connections = engine->settings->connections;
 	engine->page_limits = engine->caller_limits;
+	engine->page_limits.message.header_bytes = PAGE_HEAD_BYTES;
 	engine->answer_limits.header_bytes = ANSWER_HEAD_MAX;
 	engine->answer_limits.body_bytes = ANSWER_BYTES_MAX;
 }
--- a/src/libforward/evidence.c
+++ b/src/libforward/evidence.c
@@ -13,6 +13,9 @@
 #define REPORT_MAX   60
 #define OUTLIERS_MAX 60
 
+/* Replicas with long ids are left out beyond this, to fit into a call. */
+#define REPORT_BYTES_MAX 8192
+
 /* Greatest slowness that is taken. */
 #define SLOWNESS_MAX 1000.0
 
@@ -31,6 +34,8 @@
 	g_autofree char *name = g_uri_escape_string(id, NULL, FALSE);
 	double mean = tally->answers ? tally->slowness / tally->answers : 0;
 
+	if (report->len > REPORT_BYTES_MAX)
+		return;
 	g_string_append_printf(report, "%s:%u:%u:%.0f,", name, tally->answers,
 			       tally->failures, mean * SLOWNESS_PARTS);
 }
--- a/test/unit/test_follow.c
+++ b/test/unit/test_follow.c
@@ -442,6 +442,34 @@
 }
 END_TEST
 
+/* At the target of 2,000 daemons a seed has 667 callers. The seed, the one that
+ * asks and those it names count. */
+START_TEST(a_seed_may_name_very_many_callers)
+{
+	struct net net = net_create();
+	struct daemon2 seed;
+	GString *head = g_string_new(
+		"GET /v1/follow?control=127.0.0.1:9&zone=a&after=0&callers=");
+	struct net_client *client;
+
+	start(&net, &seed, 0, "a");
+	confirm(&net, &seed, 5);
+	for (guint i = 0; i < 2000; i++)
+		g_string_append_printf(head, "%08x:a-long-zone-name,", i);
+	g_string_append(head, " HTTP/1.1\r\nHost: s\r\n\r\n");
+	client = net_connect(&net, &seed.settings.control);
+	net_send(client, head->str);
+	net_pass(&net, 5);
+	net_read(client);
+	ck_assert(g_str_has_prefix(client->got->str, "HTTP/1.1 200 "));
+	ck_assert_ptr_nonnull(strstr(client->got->str, "\"daemons\": 2002,"));
+	net_close(client);
+	g_string_free(head, TRUE);
+	end(&seed);
+	net_destroy(&net);
+}
+END_TEST
+
 START_TEST(a_seed_with_a_damaged_picture_is_left)
 {
 	static const char body[] = "{\"daemons\": 3, \"daemons_in_zone\": 1, "
@@ -479,4 +507,5 @@
 	  each_daemon_counts_once_whatever_seed_it_calls,
 	  what_one_daemon_sees_reaches_the_others_by_the_seed,
 	  damaged_reports_and_outliers_change_nothing,
+	  a_seed_may_name_very_many_callers,
 	  a_seed_with_a_damaged_picture_is_left)
