forward: Log and count the rate limits that replicas name

An answer's limit is now parsed, kept with its replica, logged when it is named, changed or ended, and counted; nothing is enforced. A limit is a decimal number above 0 on one header line. Any answer of the replica can name one; only a good answer to a request sent after the newest known one shows that there is none. Anything else limits nothing and is logged.

Tests: 22 values in a table, and an answer to another request.

--- a/include/cuminsail/counters.h
+++ b/include/cuminsail/counters.h
@@ -114,7 +114,18 @@
 	  "partial answers by what ended the wait")                            \
 	X(CS_N_PARTIAL_FAILED, "partial_answers_total", "reason=failed-parts", \
 	  "partial answers by what ended the wait")                            \
-	X(CS_N_CONNECTIONS, "connections_total", "", "connections to upstreams")
+	X(CS_N_CONNECTIONS, "connections_total", "",                           \
+	  "connections to upstreams")                                          \
+	X(CS_N_LIMIT_NAMED, "rate_limits_total", "event=named",                \
+	  "changes of the rate limits that upstreams name")                    \
+	X(CS_N_LIMIT_ENDED, "rate_limits_total", "event=ended",                \
+	  "changes of the rate limits that upstreams name")                    \
+	X(CS_N_LIMIT_INVALID, "rate_limits_total", "event=invalid",            \
+	  "changes of the rate limits that upstreams name")                    \
+	X(CS_N_LIMITED_FIRST, "limited_parts_total", "kind=first",             \
+	  "parts sent to upstreams with a rate limit")                         \
+	X(CS_N_LIMITED_EXTRA, "limited_parts_total", "kind=extra",             \
+	  "parts sent to upstreams with a rate limit")
 
 /*
  * Latency histograms: X(identifier, metric, label, help), the label as
--- a/include/cuminsail/forward.h
+++ b/include/cuminsail/forward.h
@@ -21,6 +21,8 @@
 	const char *instance; /* the only replica that may run it */
 	const char *not_run; /* proof that the request did not run */
 	const char *signature; /* of a replica's answer */
+	const char
+		*rate_limit; /* requests/s a replica takes from all daemons */
 	const char *part_signatures; /* of the parts of a merged answer */
 	const char *parts_missing; /* number of shards left out */
 	const char *ready_path; /* readiness check of the load balancer */
--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -231,6 +231,13 @@
 	gint64 at_us; /* time of the estimate; 0: there is none */
 };
 
+/** Rate limit that a replica names in its answers. */
+struct route_limit {
+	double per_s; /* requests/s from all daemons together; 0: none */
+	gint64 observed_us; /* receipt of the newest answer that tells; 0: never
+			     */
+};
+
 /** A replica, its limits and its statistics. Read-only outside the package. */
 struct route_replica {
 	TAILQ_ENTRY(route_replica) link;
@@ -265,6 +272,7 @@
 	struct route_health received; /* from a daemon that pools reports */
 	double cold_tokens; /* requests a cold replica may get now */
 	gint64 cold_refilled_us; /* when cold_tokens was last refilled */
+	struct route_limit limit;
 	void *owner_data; /* of the connections' owner; set before use */
 };
 
@@ -440,6 +448,42 @@
  */
 void route_replica_saturated(struct route_replica *replica, gint64 now_us);
 
+/** A change of a replica's rate limit. */
+enum route_limit_change {
+	ROUTE_LIMIT_SAME,
+	ROUTE_LIMIT_NAMED, /* there was none before */
+	ROUTE_LIMIT_CHANGED, /* another rate */
+	ROUTE_LIMIT_ENDED,
+};
+
+/**
+ * route_replica_observe_limit - record the rate limit that an answer names
+ * @replica: the replica
+ * @per_s: requests/s from all daemons together; 0: the answer names none
+ * @sent_us: when the request of the answer was sent
+ * @now_us: when the answer was received
+ *
+ * An answer to a request that was sent before the newest known answer was
+ * received may be the older one, so it does not end a limit.
+ *
+ * Return: the change, for the log.
+ */
+enum route_limit_change route_replica_observe_limit(
+	struct route_replica *replica, double per_s, gint64 sent_us,
+	gint64 now_us);
+
+/**
+ * route_fleet_each_limit - visit the replicas with a rate limit, or with one
+ * that has ended
+ * @fleet: a fleet
+ * @visit: called with each replica and @user; must not change the fleet
+ * @user: passed to @visit
+ */
+void route_fleet_each_limit(struct route_fleet *fleet,
+			    void (*visit)(struct route_replica *replica,
+					  void *user),
+			    void *user);
+
 /* ---- choosing ---- */
 
 /** Most replicas that one part of a request is sent to. */
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -99,6 +99,7 @@
 	struct route_replica *replica;
 	struct forward_engine *engine;
 	TAILQ_ENTRY(forward_link) entry;
+	gint64 limit_logged_us; /* last log line about its rate limit */
 	TAILQ_HEAD(idle_connections, forward_connection)
 	idle; /* most recently used first */
 };
@@ -234,6 +235,20 @@
 	bool not_run; /* the answer proves that the request did not run */
 };
 
+/* The rate limit in a replica's answer. */
+struct forward_rate_limit {
+	enum {
+		FORWARD_LIMIT_ABSENT,
+		FORWARD_LIMIT_VALID,
+		FORWARD_LIMIT_INVALID,
+	} kind;
+	double per_s; /* of FORWARD_LIMIT_VALID: requests/s, above 0 */
+};
+
+struct forward_rate_limit forward_read_rate_limit(
+	const struct forward_dialect *dialect,
+	const struct http1_message *message);
+
 struct forward_classification forward_classify_answer(
 	const struct forward_dialect *dialect,
 	const struct http1_message *message);
--- a/src/libforward/message.c
+++ b/src/libforward/message.c
@@ -3,6 +3,7 @@
 
 #include "cuminsail/error.h"
 
+#include <math.h>
 #include <string.h>
 
 static void copy_line(const char *name, const char *value, void *user)
@@ -70,6 +71,55 @@
 	return (struct forward_classification){ROUTE_ANSWERED, 0, false};
 }
 
+/* Matches a decimal number without sign or exponent. */
+static bool is_decimal(const char *text)
+{
+	gsize digits = strspn(text, "0123456789");
+	const char *rest = text + digits;
+
+	if (*rest == '.') {
+		gsize decimals = strspn(++rest, "0123456789");
+
+		digits += decimals;
+		rest += decimals;
+	}
+	return digits && !*rest;
+}
+
+struct value_list {
+	const char *name;
+	const char *value; /* of the last line with this name */
+	guint n;
+};
+
+static void collect_value(const char *name, const char *value, void *user)
+{
+	struct value_list *list = user;
+
+	if (g_ascii_strcasecmp(name, list->name) != 0)
+		return;
+	list->value = value;
+	list->n++;
+}
+
+struct forward_rate_limit forward_read_rate_limit(
+	const struct forward_dialect *dialect,
+	const struct http1_message *message)
+{
+	struct value_list list = {.name = dialect->rate_limit};
+	double per_s;
+
+	http1_message_foreach_end_to_end(message, collect_value, &list);
+	if (!list.n)
+		return (struct forward_rate_limit){FORWARD_LIMIT_ABSENT, 0};
+	if (list.n > 1 || !is_decimal(list.value))
+		return (struct forward_rate_limit){FORWARD_LIMIT_INVALID, 0};
+	per_s = g_ascii_strtod(list.value, NULL);
+	if (!isfinite(per_s) || per_s <= 0)
+		return (struct forward_rate_limit){FORWARD_LIMIT_INVALID, 0};
+	return (struct forward_rate_limit){FORWARD_LIMIT_VALID, per_s};
+}
+
 struct head_writer {
 	const struct forward_dialect *dialect;
 	GString *head;
--- a/test/unit/net.c
+++ b/test/unit/net.c
@@ -15,6 +15,7 @@
 	.instance = "For",
 	.not_run = "Not-Run",
 	.signature = "Signed",
+	.rate_limit = "Takes",
 	.part_signatures = "Parts",
 	.parts_missing = "Missing",
 	.ready_path = "/ready",
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -232,6 +232,110 @@
 	"HTTP/1.1 503 Full\r\nId: r1\r\nSigned: s0\r\n"                        \
 	"Content-Length: 0\r\n\r\n"
 
+/* Return: an answer to request "r1" with the given status and header lines. */
+static char *answer_with(const char *status, const char *lines)
+{
+	return g_strdup_printf("HTTP/1.1 %s Any\r\nId: r1\r\nSigned: s0\r\n%s"
+			       "Content-Length: 4\r\n\r\ngood",
+			       status, lines);
+}
+
+static void read_limit_of_u0(struct route_replica *replica, void *user)
+{
+	if (!strcmp(replica->id, "u0"))
+		*(double *)user = replica->limit.per_s;
+}
+
+/* Return: the rate limit known of the first replica. */
+static double rate_limit(struct fixture *fixture)
+{
+	double per_s = 0;
+
+	route_fleet_each_limit(forward_engine_fleet(fixture->engine),
+			       read_limit_of_u0, &per_s);
+	return per_s;
+}
+
+/* The rows of docs/design/rate-limits.md. The replica has named 7 before each
+ * of them. */
+START_TEST(only_a_valid_rate_limit_of_the_replica_counts)
+{
+	static const struct {
+		const char *status;
+		const char *lines;
+		double per_s;
+		bool invalid;
+	} cases[] = {
+		{"200", "Takes: 9\r\n", 9, false},
+		{"200", "Takes: 0.25\r\n", 0.25, false},
+		{"200", "Takes: 12.\r\n", 12, false},
+		{"200", "", 0, false},
+		{"500", "Takes: 9\r\n", 9, false},
+		{"503", "Takes: 9\r\n", 9, false},
+		{"429", "Not-Run: 1\r\nTakes: 9\r\n", 9, false},
+		{"500", "", 7, false},
+		{"429", "Not-Run: 1\r\n", 7, false},
+		{"421", "Takes: 9\r\n", 7, false},
+		{"200", "Takes:\r\n", 7, true},
+		{"200", "Takes: 0\r\n", 7, true},
+		{"200", "Takes: -9\r\n", 7, true},
+		{"200", "Takes: +9\r\n", 7, true},
+		{"200", "Takes: nan\r\n", 7, true},
+		{"200", "Takes: inf\r\n", 7, true},
+		{"200", "Takes: 1e400\r\n", 7, true},
+		{"200", "Takes: 0x9\r\n", 7, true},
+		{"200", "Takes: 9/s\r\n", 7, true},
+		{"200", "Takes: .\r\n", 7, true},
+		{"200", "Takes: 10, 5\r\n", 7, true},
+		{"200", "Takes: 9\r\nTakes: 9\r\n", 7, true},
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture fixture;
+		char *reply = answer_with(cases[i].status, cases[i].lines);
+
+		fixture_create(&fixture);
+		fixture_publish(&fixture);
+		start_replica(&fixture, 0, answer_with("200", "Takes: 7\r\n"),
+			      false);
+		net_close(send_request(&fixture, "GET /one/"));
+		ck_assert_double_eq(rate_limit(&fixture), 7);
+		net_advance(&fixture.net, 10000);
+		g_free(fixture.replies[0]);
+		fixture.replies[0] = reply;
+		fixture.servers[0]->reply = reply;
+		net_close(send_request(&fixture, "GET /one/"));
+		ck_assert_uint_eq(fixture.servers[0]->requests, 2);
+		ck_assert_msg(rate_limit(&fixture) == cases[i].per_s,
+			      "case %zu: %f", i, rate_limit(&fixture));
+		ck_assert_uint_eq(
+			cs_counters_get(forward_engine_counters(fixture.engine),
+					CS_N_LIMIT_INVALID),
+			cases[i].invalid);
+		fixture_destroy(&fixture);
+	}
+}
+END_TEST
+
+/* An answer that belongs to another request tells nothing about this one's
+ * replica. */
+START_TEST(a_rate_limit_on_an_answer_to_another_request_is_ignored)
+{
+	struct fixture fixture;
+
+	fixture_create(&fixture);
+	fixture_publish(&fixture);
+	start_replica(&fixture, 0,
+		      g_strdup("HTTP/1.1 200 OK\r\nId: r0\r\nSigned: s9\r\n"
+			       "Takes: 9\r\nContent-Length: 3\r\n\r\nbad" GOOD),
+		      false);
+	net_close(send_request(&fixture, "GET /one/"));
+	ck_assert_uint_eq(fixture.servers[0]->requests, 1);
+	ck_assert_double_eq(rate_limit(&fixture), 0);
+	fixture_destroy(&fixture);
+}
+END_TEST
+
 /* Each case is an outcome at the first replica; the second one answers
  * "second". Guards against running a request twice, against giving up one that
  * can be retried, and against returning an answer that belongs to another
@@ -725,6 +829,8 @@
 END_TEST
 
 UNIT_MAIN("forward", a_request_and_its_answer_are_forwarded_unchanged,
+	  only_a_valid_rate_limit_of_the_replica_counts,
+	  a_rate_limit_on_an_answer_to_another_request_is_ignored,
 	  a_failed_attempt_is_retried_only_if_allowed,
 	  a_503_is_sent_if_both_replicas_did_not_run_it,
 	  a_silent_replica_is_hedged_or_waited_for,
