--- /dev/null
+++ b/test/unit/daemon.c
@@ -0,0 +1,88 @@
+/* Forwarding daemons with a source that the test controls. */
+#include "daemon.h"
+
+#include "unit.h"
+
+#include <string.h>
+
+static void set_direct_reading(bool direct, void *user)
+{
+	((struct daemon *)user)->direct = direct;
+}
+
+static gint64 revision(void *user)
+{
+	return ((struct daemon *)user)->revision;
+}
+
+static json_t *export_changes(gint64 after, void *user)
+{
+	struct daemon *daemon = user;
+
+	return daemon->revision ? json_pack("{s:I, s:I}", "revision",
+					    (json_int_t)daemon->revision,
+					    "after", (json_int_t)after)
+				: NULL;
+}
+
+static void apply(json_t *document, void *user)
+{
+	struct daemon *daemon = user;
+	gint64 received =
+		json_integer_value(json_object_get(document, "revision"));
+
+	daemon->revision = MAX(daemon->revision, received);
+}
+
+static void on_stopped(void *user)
+{
+}
+
+void daemon_start(struct net *net, struct daemon *daemon, guint number,
+		  const char *zone)
+{
+	struct forward_source source = {set_direct_reading, revision,
+					export_changes, apply, daemon};
+	struct forward_settings *settings = &daemon->settings;
+
+	memset(daemon, 0, sizeof(*daemon));
+	settings->instance = (char *)"d";
+	settings->zone = (char *)zone;
+	settings->regions = g_hash_table_new(g_str_hash, g_str_equal);
+	g_hash_table_insert(settings->regions, "a", "east");
+	g_hash_table_insert(settings->regions, "b", "west");
+	settings->caller = net_address(70 + number * 4);
+	settings->ready = net_address(71 + number * 4);
+	settings->control = net_address(72 + number * 4);
+	settings->metrics = net_address(73 + number * 4);
+	settings->connections = 10;
+	settings->bounds.daemons = 10;
+	settings->bounds.daemons_in_zone = 4;
+	settings->seeds = g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
+	for (guint i = 0; i < SEEDS; i++) {
+		struct sockaddr_in address = net_address(72 + i * 4);
+
+		g_array_append_val(settings->seeds, address);
+	}
+	daemon->engine = forward_engine_create(
+		net->loop, settings, &net_dialect, on_stopped, daemon);
+	ck_assert_ptr_nonnull(daemon->engine);
+	forward_engine_set_source(daemon->engine, &source);
+}
+
+void daemon_stop(struct daemon *daemon)
+{
+	forward_engine_destroy(daemon->engine);
+	g_hash_table_unref(daemon->settings.regions);
+	g_array_unref(daemon->settings.seeds);
+}
+
+void daemon_confirm_view(struct net *net, struct daemon *seed,
+			 gint64 new_revision)
+{
+	if (new_revision > seed->revision) {
+		seed->revision = new_revision;
+		forward_engine_view_changed(seed->engine);
+	}
+	forward_engine_confirm_view(seed->engine, cs_clock_now(net->clock));
+}
--- a/test/unit/test_follow.c
+++ b/test/unit/test_follow.c
@@ -1,131 +1,34 @@
 /* Tests how a daemon gets its routing view from a seed or the platform, how it
  * counts daemons, and how seeds share outliers. */
-#include "net.h"
+#include "daemon.h"
 #include "unit.h"
 
-#include "cuminsail/forward.h"
-
 #include <string.h>
 
-/* A daemon whose source has a routing view that consists of a revision only. */
-struct test_daemon {
-	struct forward_settings settings;
-	struct forward_engine *engine;
-	gint64 revision;
-	bool direct; /* the platform is read directly */
-};
-
-static void set_direct_reading(bool direct, void *user)
-{
-	((struct test_daemon *)user)->direct = direct;
-}
-
-static gint64 revision(void *user)
-{
-	return ((struct test_daemon *)user)->revision;
-}
-
-static json_t *export_changes(gint64 after, void *user)
-{
-	struct test_daemon *daemon = user;
-
-	return daemon->revision ? json_pack("{s:I, s:I}", "revision",
-					    (json_int_t)daemon->revision,
-					    "after", (json_int_t)after)
-				: NULL;
-}
-
-static void apply(json_t *document, void *user)
-{
-	struct test_daemon *daemon = user;
-	gint64 received =
-		json_integer_value(json_object_get(document, "revision"));
-
-	daemon->revision = MAX(daemon->revision, received);
-}
-
-static void on_stopped(void *user)
-{
-}
-
-enum { SEEDS = 2 };
-
-/* Starts daemon @number in @zone; the first SEEDS numbers are the seeds. */
-static void start_daemon(struct net *net, struct test_daemon *daemon,
-			 guint number, const char *zone)
-{
-	struct forward_source source = {set_direct_reading, revision,
-					export_changes, apply, daemon};
-	struct forward_settings *settings = &daemon->settings;
-
-	memset(daemon, 0, sizeof(*daemon));
-	settings->instance = (char *)"d";
-	settings->zone = (char *)zone;
-	settings->regions = g_hash_table_new(g_str_hash, g_str_equal);
-	g_hash_table_insert(settings->regions, "a", "east");
-	g_hash_table_insert(settings->regions, "b", "west");
-	settings->caller = net_address(70 + number * 4);
-	settings->ready = net_address(71 + number * 4);
-	settings->control = net_address(72 + number * 4);
-	settings->metrics = net_address(73 + number * 4);
-	settings->connections = 10;
-	settings->bounds.daemons = 10;
-	settings->bounds.daemons_in_zone = 4;
-	settings->seeds = g_array_new(FALSE, FALSE, sizeof(struct sockaddr_in));
-	for (guint i = 0; i < SEEDS; i++) {
-		struct sockaddr_in address = net_address(72 + i * 4);
-
-		g_array_append_val(settings->seeds, address);
-	}
-	daemon->engine = forward_engine_create(
-		net->loop, settings, &net_dialect, on_stopped, daemon);
-	ck_assert_ptr_nonnull(daemon->engine);
-	forward_engine_set_source(daemon->engine, &source);
-}
-
-static void stop_daemon(struct test_daemon *daemon)
-{
-	forward_engine_destroy(daemon->engine);
-	g_hash_table_unref(daemon->settings.regions);
-	g_array_unref(daemon->settings.seeds);
-}
-
-/* Simulates an answer of the platform to a seed: its routing view is current
- * now and has at least revision @new_revision. */
-static void confirm_view(struct net *net, struct test_daemon *seed,
-			 gint64 new_revision)
-{
-	if (new_revision > seed->revision) {
-		seed->revision = new_revision;
-		forward_engine_view_changed(seed->engine);
-	}
-	forward_engine_confirm_view(seed->engine, cs_clock_now(net->clock));
-}
-
 /* Only the seeds read the platform; a change reaches a follower at once. */
 START_TEST(a_daemon_follows_a_seed_and_does_not_read_the_platform)
 {
 	struct net net = net_create();
-	struct test_daemon seeds[SEEDS];
-	struct test_daemon follower;
-
-	start_daemon(&net, &seeds[0], 0, "a");
-	start_daemon(&net, &seeds[1], 1, "b");
-	confirm_view(&net, &seeds[0], 5);
-	confirm_view(&net, &seeds[1], 5);
-	start_daemon(&net, &follower, 2, "a");
+	struct daemon seeds[SEEDS];
+	struct daemon follower;
+
+	daemon_start(&net, &seeds[0], 0, "a");
+	daemon_start(&net, &seeds[1], 1, "b");
+	daemon_confirm_view(&net, &seeds[0], 5);
+	daemon_confirm_view(&net, &seeds[1], 5);
+	daemon_start(&net, &follower, 2, "a");
 	net_advance(&net, 300);
 	ck_assert(seeds[0].direct && seeds[1].direct);
 	ck_assert(!follower.direct);
 	ck_assert_int_eq(follower.revision, 5);
 	/* Both seeds get the change, since the follower may use either. */
-	confirm_view(&net, &seeds[0], 6);
-	confirm_view(&net, &seeds[1], 6);
+	daemon_confirm_view(&net, &seeds[0], 6);
+	daemon_confirm_view(&net, &seeds[1], 6);
 	net_run_until_idle(&net);
 	ck_assert_int_eq(follower.revision, 6);
 	for (guint i = 0; i < SEEDS; i++)
-		stop_daemon(&seeds[i]);
-	stop_daemon(&follower);
+		daemon_stop(&seeds[i]);
+	daemon_stop(&follower);
 	net_destroy(&net);
 }
 END_TEST
@@ -134,26 +37,26 @@
 START_TEST(a_follower_switches_from_a_late_seed_to_a_current_one)
 {
 	struct net net = net_create();
-	struct test_daemon seeds[SEEDS];
-	struct test_daemon follower;
-
-	start_daemon(&net, &seeds[0], 0, "a");
-	start_daemon(&net, &seeds[1], 1, "b");
-	confirm_view(&net, &seeds[0], 5);
-	confirm_view(&net, &seeds[1], 5);
-	start_daemon(&net, &follower, 2, "a");
+	struct daemon seeds[SEEDS];
+	struct daemon follower;
+
+	daemon_start(&net, &seeds[0], 0, "a");
+	daemon_start(&net, &seeds[1], 1, "b");
+	daemon_confirm_view(&net, &seeds[0], 5);
+	daemon_confirm_view(&net, &seeds[1], 5);
+	daemon_start(&net, &follower, 2, "a");
 	/* Only the second seed still reaches the platform. */
 	for (int i = 0; i < 40; i++) {
 		net_advance(&net, 100);
-		confirm_view(&net, &seeds[1], 5 + i / 20);
+		daemon_confirm_view(&net, &seeds[1], 5 + i / 20);
 	}
 	ck_assert(!follower.direct);
 	ck_assert_int_eq(follower.revision, 6);
 	/* The first seed gets the change from the second one. */
 	ck_assert_int_eq(seeds[0].revision, 6);
 	for (guint i = 0; i < SEEDS; i++)
-		stop_daemon(&seeds[i]);
-	stop_daemon(&follower);
+		daemon_stop(&seeds[i]);
+	daemon_stop(&follower);
 	net_destroy(&net);
 }
 END_TEST
@@ -175,24 +78,24 @@
 
 	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct net net = net_create();
-		struct test_daemon seeds[SEEDS];
-		struct test_daemon follower;
-
-		start_daemon(&net, &seeds[0], 0, "a");
-		start_daemon(&net, &seeds[1], 1, "b");
-		start_daemon(&net, &follower, 2, "a");
-		confirm_view(&net, &seeds[0], 5);
-		confirm_view(&net, &seeds[1], 5);
+		struct daemon seeds[SEEDS];
+		struct daemon follower;
+
+		daemon_start(&net, &seeds[0], 0, "a");
+		daemon_start(&net, &seeds[1], 1, "b");
+		daemon_start(&net, &follower, 2, "a");
+		daemon_confirm_view(&net, &seeds[0], 5);
+		daemon_confirm_view(&net, &seeds[1], 5);
 		net_advance(&net, 200);
 		ck_assert_int_eq(follower.revision, 5);
 		for (guint k = 0; k < SEEDS && !cases[i].up; k++)
-			stop_daemon(&seeds[k]);
+			daemon_stop(&seeds[k]);
 		net_advance(&net, cases[i].ms - 200);
 		ck_assert_msg(follower.direct == cases[i].direct, "case %zu",
 			      i);
 		for (guint k = 0; k < SEEDS && cases[i].up; k++)
-			stop_daemon(&seeds[k]);
-		stop_daemon(&follower);
+			daemon_stop(&seeds[k]);
+		daemon_stop(&follower);
 		net_destroy(&net);
 	}
 }
@@ -202,14 +105,14 @@
 START_TEST(a_daemon_without_a_view_soon_reads_the_platform)
 {
 	struct net net = net_create();
-	struct test_daemon follower;
+	struct daemon follower;
 
-	start_daemon(&net, &follower, 2, "a");
+	daemon_start(&net, &follower, 2, "a");
 	net_advance(&net, 300);
 	ck_assert(!follower.direct);
 	net_advance(&net, 400);
 	ck_assert(follower.direct);
-	stop_daemon(&follower);
+	daemon_stop(&follower);
 	net_destroy(&net);
 }
 END_TEST
@@ -220,41 +123,41 @@
 START_TEST(a_seed_holds_calls_until_its_first_view)
 {
 	struct net net = net_create();
-	struct test_daemon seeds[SEEDS];
-	struct test_daemon follower;
+	struct daemon seeds[SEEDS];
+	struct daemon follower;
 
 	/* The clock is beyond the greatest age of a current view, so that the
 	 * confirmation time 0 of a new daemon counts as late. */
 	cs_clock_advance(net.clock, 10 * CS_US_PER_S);
-	start_daemon(&net, &seeds[0], 0, "a");
-	start_daemon(&net, &seeds[1], 1, "b");
-	start_daemon(&net, &follower, 2, "a");
+	daemon_start(&net, &seeds[0], 0, "a");
+	daemon_start(&net, &seeds[1], 1, "b");
+	daemon_start(&net, &follower, 2, "a");
 	net_advance(&net, 500);
 	ck_assert_int_eq(follower.revision, 0);
 	ck_assert(!follower.direct);
-	confirm_view(&net, &seeds[0], 5);
-	confirm_view(&net, &seeds[1], 5);
+	daemon_confirm_view(&net, &seeds[0], 5);
+	daemon_confirm_view(&net, &seeds[1], 5);
 	net_advance(&net, 5);
 	ck_assert_int_eq(follower.revision, 5);
 	/* The wait is bounded: only the seeds may have lost the platform. */
-	stop_daemon(&follower);
+	daemon_stop(&follower);
 	for (guint i = 0; i < SEEDS; i++) {
-		stop_daemon(&seeds[i]);
-		start_daemon(&net, &seeds[i], i, "a");
+		daemon_stop(&seeds[i]);
+		daemon_start(&net, &seeds[i], i, "a");
 	}
-	start_daemon(&net, &follower, 2, "a");
+	daemon_start(&net, &follower, 2, "a");
 	net_advance(&net, 1000);
 	ck_assert(follower.direct);
 	for (guint i = 0; i < SEEDS; i++)
-		stop_daemon(&seeds[i]);
-	stop_daemon(&follower);
+		daemon_stop(&seeds[i]);
+	daemon_stop(&follower);
 	net_destroy(&net);
 }
 END_TEST
 
 /* Return: the daemon's share of the 1,200 connections of a replica in @zone. It
  * depends on the daemon counts, which have no accessor. */
-static guint connection_share(struct test_daemon *daemon, const char *zone)
+static guint connection_share(struct daemon *daemon, const char *zone)
 {
 	struct route_fleet *fleet = forward_engine_fleet(daemon->engine);
 	struct route_table *table = route_table_create(1);
@@ -290,31 +193,31 @@
 START_TEST(a_daemon_that_changes_its_seed_counts_once)
 {
 	struct net net = net_create();
-	struct test_daemon seeds[SEEDS];
-	struct test_daemon followers[4];
+	struct daemon seeds[SEEDS];
+	struct daemon followers[4];
 
-	start_daemon(&net, &seeds[0], 0, "a");
-	start_daemon(&net, &seeds[1], 1, "b");
+	daemon_start(&net, &seeds[0], 0, "a");
+	daemon_start(&net, &seeds[1], 1, "b");
 	for (guint i = 0; i < 4; i++)
-		start_daemon(&net, &followers[i], 2 + i, i < 3 ? "a" : "b");
+		daemon_start(&net, &followers[i], 2 + i, i < 3 ? "a" : "b");
 	for (int i = 0; i < 60; i++) {
 		/* The seeds are late in turn, so that followers switch. */
 		if (i % 20 < 10)
-			confirm_view(&net, &seeds[i / 20 % 2], 5);
+			daemon_confirm_view(&net, &seeds[i / 20 % 2], 5);
 		net_advance(&net, 100);
 	}
 	/* Six daemons, four of them in zone a: 1200 x 0.55 / 4 each. */
 	ck_assert_uint_eq(connection_share(&followers[0], "a"), 165);
 	ck_assert_uint_eq(connection_share(&followers[3], "b"), 330);
 	for (guint i = 0; i < SEEDS; i++)
-		stop_daemon(&seeds[i]);
+		daemon_stop(&seeds[i]);
 	for (guint i = 0; i < 4; i++)
-		stop_daemon(&followers[i]);
+		daemon_stop(&followers[i]);
 	net_destroy(&net);
 }
 END_TEST
 
-static void list_replica(struct test_daemon *daemon)
+static void list_replica(struct daemon *daemon)
 {
 	struct route_entry entry = {.id = "u:1",
 				    .service = "s",
@@ -326,7 +229,7 @@
 }
 
 /* Return: the replica of list_replica() in a daemon's fleet. */
-static struct route_replica *replica_of(struct test_daemon *daemon)
+static struct route_replica *replica_of(struct daemon *daemon)
 {
 	struct route_fleet *fleet = forward_engine_fleet(daemon->engine);
 	struct route route = {.name = (char *)"r"};
@@ -344,8 +247,7 @@
 }
 
 /* Records a good answer of the replica that took @ms. */
-static void record_answer(struct net *net, struct test_daemon *daemon,
-			  gint64 ms)
+static void record_answer(struct net *net, struct daemon *daemon, gint64 ms)
 {
 	struct route route = {.name = (char *)"r"};
 	struct route_fleet *fleet = forward_engine_fleet(daemon->engine);
@@ -361,20 +263,20 @@
 START_TEST(outliers_seen_by_one_daemon_reach_the_others)
 {
 	struct net net = net_create();
-	struct test_daemon seeds[SEEDS];
-	struct test_daemon followers[2];
+	struct daemon seeds[SEEDS];
+	struct daemon followers[2];
 
-	start_daemon(&net, &seeds[0], 0, "a");
-	start_daemon(&net, &seeds[1], 1, "b");
+	daemon_start(&net, &seeds[0], 0, "a");
+	daemon_start(&net, &seeds[1], 1, "b");
 	for (guint i = 0; i < 2; i++)
-		start_daemon(&net, &followers[i], 2 + i, "a");
+		daemon_start(&net, &followers[i], 2 + i, "a");
 	for (guint i = 0; i < 2; i++) {
 		list_replica(&seeds[i]);
 		list_replica(&followers[i]);
 	}
 	for (int i = 0; i < 60; i++) {
-		confirm_view(&net, &seeds[0], 5);
-		confirm_view(&net, &seeds[1], 5);
+		daemon_confirm_view(&net, &seeds[0], 5);
+		daemon_confirm_view(&net, &seeds[1], 5);
 		if (i % 2)
 			record_answer(&net, &followers[0], 400);
 		net_advance(&net, 100);
@@ -385,9 +287,9 @@
 	ck_assert(replica_of(&seeds[0])->received.slowness > 2 ||
 		  replica_of(&seeds[1])->received.slowness > 2);
 	for (guint i = 0; i < SEEDS; i++)
-		stop_daemon(&seeds[i]);
+		daemon_stop(&seeds[i]);
 	for (guint i = 0; i < 2; i++)
-		stop_daemon(&followers[i]);
+		daemon_stop(&followers[i]);
 	net_destroy(&net);
 }
 END_TEST
@@ -406,11 +308,11 @@
 		"{\"u:1\": 9}",	      "[[\"u:1\", 1e9, 0]]",
 	};
 	struct net net = net_create();
-	struct test_daemon seed;
+	struct daemon seed;
 
-	start_daemon(&net, &seed, 0, "a");
+	daemon_start(&net, &seed, 0, "a");
 	list_replica(&seed);
-	confirm_view(&net, &seed, 5);
+	daemon_confirm_view(&net, &seed, 5);
 	for (gsize i = 0; i < G_N_ELEMENTS(reports); i++) {
 		struct net_client *client =
 			net_connect(&net, &seed.settings.control);
@@ -428,7 +330,7 @@
 		net_close(client);
 	}
 	ck_assert_int_eq(replica_of(&seed)->pooled.at_us, 0);
-	stop_daemon(&seed);
+	daemon_stop(&seed);
 	for (gsize i = 0; i < G_N_ELEMENTS(outliers); i++) {
 		g_autofree char *body = g_strdup_printf(
 			"{\"daemons\": 2, \"daemons_in_zone\": 1, "
@@ -440,14 +342,14 @@
 		/* The address of the first seed. */
 		struct net_server *server =
 			net_server_create(&net, 72, reply, true);
-		struct test_daemon follower;
+		struct daemon follower;
 
-		start_daemon(&net, &follower, 2, "a");
+		daemon_start(&net, &follower, 2, "a");
 		list_replica(&follower);
 		net_advance(&net, 200);
 		ck_assert_uint_gt(server->requests, 0);
 		ck_assert_int_eq(replica_of(&follower)->received.at_us, 0);
-		stop_daemon(&follower);
+		daemon_stop(&follower);
 		net_server_destroy(server);
 	}
 	net_destroy(&net);
@@ -460,13 +362,13 @@
 START_TEST(a_seed_accepts_a_call_with_2000_callers)
 {
 	struct net net = net_create();
-	struct test_daemon seed;
+	struct daemon seed;
 	GString *head = g_string_new(
 		"GET /v1/follow?control=127.0.0.1:9&zone=a&after=0&callers=");
 	struct net_client *client;
 
-	start_daemon(&net, &seed, 0, "a");
-	confirm_view(&net, &seed, 5);
+	daemon_start(&net, &seed, 0, "a");
+	daemon_confirm_view(&net, &seed, 5);
 	for (guint i = 0; i < 2000; i++)
 		g_string_append_printf(head, "%08x:a-long-zone-name,", i);
 	g_string_append(head, " HTTP/1.1\r\nHost: s\r\n\r\n");
@@ -479,7 +381,7 @@
 		strstr(client->received->str, "\"daemons\": 2002,"));
 	net_close(client);
 	g_string_free(head, TRUE);
-	stop_daemon(&seed);
+	daemon_stop(&seed);
 	net_destroy(&net);
 }
 END_TEST
@@ -495,20 +397,20 @@
 	struct net net = net_create();
 	/* The address of the first seed. */
 	struct net_server *server = net_server_create(&net, 72, reply, false);
-	struct test_daemon seed;
-	struct test_daemon follower;
+	struct daemon seed;
+	struct daemon follower;
 
-	start_daemon(&net, &seed, 1, "b");
-	confirm_view(&net, &seed, 5);
-	start_daemon(&net, &follower, 2, "a");
+	daemon_start(&net, &seed, 1, "b");
+	daemon_confirm_view(&net, &seed, 5);
+	daemon_start(&net, &follower, 2, "a");
 	for (int i = 0; i < 20; i++) {
 		net_advance(&net, 100);
-		confirm_view(&net, &seed, 5);
+		daemon_confirm_view(&net, &seed, 5);
 	}
 	ck_assert_int_eq(follower.revision, 5);
 	ck_assert(!follower.direct);
-	stop_daemon(&seed);
-	stop_daemon(&follower);
+	daemon_stop(&seed);
+	daemon_stop(&follower);
 	net_server_destroy(server);
 	net_destroy(&net);
 }
