route: Keep a replica's requests below the rate limit that it names

Callers saw nothing; replicas that had named a limit got up to 1.5 times what the rule allows (120 requests in 4 s where 53 are allowed in the test that failed).

Cause: the limit was not read, and it is a sum over all daemons, of which each knows only its own requests. Class: one allowance that machines without shared state divide; cold replicas and the connections of a replica are two others.

Each daemon now takes a token for each request to such a replica, first attempts and repeats alike, before it is sent; it is not given back. The bucket starts empty and fills at half of limit / daemons, so that the sum stays below the limit as long as at least half of the daemons are counted. The bucket of cold replicas uses the same functions.

--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -10,6 +10,7 @@
 #define CUMINSAIL_ROUTE_H
 
 #include "cuminsail/clock.h"
+#include "cuminsail/route_limit.h"
 
 #include <glib.h>
 #include <netinet/in.h>
@@ -231,13 +232,6 @@
 	gint64 at_us; /* time of the estimate; 0: there is none */
 };
 
-/** Rate limit that a replica names in its answers. */
-struct route_limit {
-	double per_s; /* requests/s from all daemons together; 0: none */
-	gint64 observed_us; /* receipt of the newest answer that tells; 0: never
-			     */
-};
-
 /** A replica, its limits and its statistics. Read-only outside the package. */
 struct route_replica {
 	TAILQ_ENTRY(route_replica) link;
@@ -270,8 +264,8 @@
 	struct route_health pooled; /* from the reports of many daemons */
 	gint64 outlier_since_us; /* by the pooled estimates; 0: no outlier */
 	struct route_health received; /* from a daemon that pools reports */
-	double cold_tokens; /* requests a cold replica may get now */
-	gint64 cold_refilled_us; /* when cold_tokens was last refilled */
+	struct route_bucket
+		cold_bucket; /* this daemon's part while it is cold */
 	struct route_limit limit;
 	void *owner_data; /* of the connections' owner; set before use */
 };
--- a/src/libroute/choose.c
+++ b/src/libroute/choose.c
@@ -79,8 +79,7 @@
 	return pool->cold_per_s * bounds->cold_overrun / bounds->daemons;
 }
 
-/* Refill the token bucket that limits the requests to a cold replica. Return:
- * false if it is empty, and true for replicas without the limit. */
+/* Whether the limit of a cold replica allows a request now. */
 static bool has_cold_capacity(const struct route_pool *pool,
 			      struct route_replica *replica, gint64 now_us)
 {
@@ -88,13 +87,8 @@
 
 	if (pool->cold_per_s <= 0 || replica->cold_until_us <= now_us)
 		return true;
-	if (replica->cold_refilled_us)
-		replica->cold_tokens +=
-			rate * (double)(now_us - replica->cold_refilled_us) /
-			CS_US_PER_S;
-	replica->cold_tokens = MIN(replica->cold_tokens, MAX(rate, 1));
-	replica->cold_refilled_us = now_us;
-	return replica->cold_tokens >= 1;
+	route_bucket_refill(&replica->cold_bucket, rate, MAX(rate, 1), now_us);
+	return route_bucket_ready(&replica->cold_bucket);
 }
 
 guint route_replica_connections(const struct route_replica *replica)
@@ -163,7 +157,8 @@
 		if (*reason == ROUTE_NO_REPLICA)
 			*reason = ROUTE_NO_CAPACITY;
 		if (!has_connection(replica, now_us) ||
-		    !has_cold_capacity(pool, replica, now_us))
+		    !has_cold_capacity(pool, replica, now_us) ||
+		    !route_limit_allows(replica, now_us))
 			continue;
 		tier = tier_of(replica, now_us);
 		cost = cost_us(criteria, replica, now_us);
--- a/src/libroute/estimate.c
+++ b/src/libroute/estimate.c
@@ -301,8 +301,10 @@
 	attempt->sent_us = now_us;
 	TAILQ_INSERT_TAIL(&replica->open_attempts, attempt, link);
 	replica->n_open++;
-	if (replica->cold_until_us > now_us && replica->cold_tokens >= 1)
-		replica->cold_tokens -= 1;
+	if (replica->cold_until_us > now_us)
+		route_bucket_take(&replica->cold_bucket);
+	if (replica->limit.per_s > 0)
+		route_bucket_take(&replica->limit.bucket);
 }
 
 void route_attempt_end(struct route_attempt *attempt, enum route_result result,
--- a/src/libroute/fleet.h
+++ b/src/libroute/fleet.h
@@ -74,4 +74,14 @@
  */
 double route_failure_rate(const struct route_replica *replica, gint64 now_us);
 
+/**
+ * route_limit_allows - whether a replica's rate limit allows a request from
+ * this daemon now
+ * @replica: a replica in a pool
+ * @now_us: current time
+ *
+ * Return: true also if the replica has no rate limit.
+ */
+bool route_limit_allows(struct route_replica *replica, gint64 now_us);
+
 #endif
