forward: Divide a replica's rate limit by places that the seeds assign

A daemon that sees a replica about once in seconds learned of a limit, and of its end, up to 19 s and 9 s late.

A daemon now reports the limits that it observes with its call to a seed; the answer has the limits that all daemons know, with the incarnation and the age of the observation, and the daemon's place for the replicas of each region. Near daemons divide nine tenths of a limit, far ones the rest; in each group only so many get a part that each may send one request a second. The sum holds when daemons join, leave, restart or are cut off: a silent daemon's place stays reserved for 60 s, or ten minutes if most of its region are silent; a new one gets none for 7 s; a seed assigns none before it has heard from most seeds; a daemon that is not told any more uses half of its part, one that never was half of an equal part.

--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -267,6 +267,8 @@
 	struct route_bucket
 		cold_bucket; /* this daemon's part while it is cold */
 	struct route_limit limit;
+	TAILQ_ENTRY(route_replica)
+	limited; /* in the fleet, once it named one */
 	void *owner_data; /* of the connections' owner; set before use */
 };
 
@@ -466,6 +468,34 @@
 	struct route_replica *replica, double per_s, gint64 sent_us,
 	gint64 now_us);
 
+/**
+ * route_fleet_learn_limit - record what another daemon knows of a rate limit
+ * @fleet: a fleet
+ * @id: the replica
+ * @incarnation: of the replica that named it; ignored for another one
+ * @limit: rate, and when it was observed; ignored if not newer than known
+ * @change: set to the change, for the log
+ * @now_us: current time
+ *
+ * Return: the replica, or NULL if the information was ignored.
+ */
+struct route_replica *route_fleet_learn_limit(struct route_fleet *fleet,
+					      const char *id,
+					      gint64 incarnation,
+					      const struct route_limit *limit,
+					      enum route_limit_change *change,
+					      gint64 now_us);
+
+/**
+ * route_fleet_set_place - set this daemon's place for the replicas of a region
+ * @fleet: a fleet
+ * @region: name of the region; "" for zones without one
+ * @place: copied; half of its fraction is used if it is older than 3 s
+ * @now_us: current time
+ */
+void route_fleet_set_place(struct route_fleet *fleet, const char *region,
+			   const struct route_place *place, gint64 now_us);
+
 /**
  * route_fleet_each_limit - visit the replicas with a rate limit, or with one
  * that has ended
--- a/include/cuminsail/route_limit.h
+++ b/include/cuminsail/route_limit.h
@@ -8,6 +8,8 @@
 #ifndef CUMINSAIL_ROUTE_LIMIT_H
 #define CUMINSAIL_ROUTE_LIMIT_H
 
+#include "cuminsail/clock.h"
+
 #include <glib.h>
 #include <stdbool.h>
 
@@ -15,17 +17,39 @@
 struct route_bucket {
 	double tokens; /* requests that may be sent now */
 	gint64 refilled_us; /* 0: never */
+	gint64 full_us; /* when it became full; 0: it is not */
+};
+
+/** How a token bucket fills. */
+struct route_bucket_rate {
+	double per_s;
+	double capacity; /* tokens that it holds at most */
 };
 
+/** How long a bucket that fills more slowly keeps its token. It then starts
+ * empty again, so that of many such buckets only some are full at any moment.
+ */
+#define ROUTE_BUCKET_LIFETIME_US (2 * CS_US_PER_S)
+
+/**
+ * route_bucket_start - set a bucket to a random level below one token
+ * @bucket: a bucket
+ * @now_us: current time
+ *
+ * The buckets of daemons that start at the same moment are then not full at the
+ * same moment.
+ */
+void route_bucket_start(struct route_bucket *bucket, gint64 now_us);
+
 /**
  * route_bucket_refill - add the tokens since the last refill
  * @bucket: a bucket
- * @per_s: tokens a second
- * @capacity: tokens that it holds at most
+ * @rate: rate since then; its capacity is at least 1. With a rate of 0 the
+ *	bucket starts again.
  * @now_us: current time
  */
-void route_bucket_refill(struct route_bucket *bucket, double per_s,
-			 double capacity, gint64 now_us);
+void route_bucket_refill(struct route_bucket *bucket,
+			 const struct route_bucket_rate *rate, gint64 now_us);
 
 /**
  * route_bucket_ready - whether a request may be sent
@@ -41,12 +65,93 @@
  */
 void route_bucket_take(struct route_bucket *bucket);
 
+/** Position of a daemon among those that divide the limits of a region's
+ * replicas. Daemons in the region are near, all others are far. */
+struct route_place {
+	bool near;
+	guint position; /* in its group; 0 is the first */
+	guint n_near; /* size of the groups, this daemon included */
+	guint n_far;
+};
+
+/**
+ * route_place_fraction - a daemon's fraction of a rate limit
+ * @place: position of the daemon
+ * @per_s: the limit, requests/s
+ *
+ * The near daemons divide most of the limit, the far ones the rest. In each
+ * group only the first daemons get a fraction, so many that each may send one
+ * request a second or more: a bucket holds at least one request, and with more
+ * buckets the sum of a short burst would exceed the limit.
+ *
+ * Return: 0 to 1; the fractions of all positions add up to 1.
+ */
+double route_place_fraction(const struct route_place *place, double per_s);
+
+/** The daemons that divide the limits, as one daemon knows them. */
+struct route_members;
+
+/** Time in which each seed has called every other one. A new daemon has no
+ * place before, and a daemon that was not seen for longer counts as silent. */
+#define ROUTE_MEMBERS_SETTLE_US (7 * CS_US_PER_S)
+
+/**
+ * route_members_create - create an empty set
+ * @now_us: current time
+ *
+ * Return: a new set.
+ */
+struct route_members *route_members_create(gint64 now_us);
+
+/**
+ * route_members_destroy - free a set
+ * @members: a set or NULL
+ */
+void route_members_destroy(struct route_members *members);
+
+/**
+ * route_members_seen - record that a daemon is up
+ * @members: a set
+ * @hash: hash of the daemon's address
+ * @region: region of the daemon; "" if its zone has none
+ * @now_us: current time
+ */
+void route_members_seen(struct route_members *members, guint32 hash,
+			const char *region, gint64 now_us);
+
+/**
+ * route_members_expire - remove daemons that have been silent for long
+ * @members: a set
+ * @now_us: current time
+ *
+ * A silent daemon is kept for 60 s if most daemons of its region are up, else
+ * for 10 minutes: its region may be split, and it may still send.
+ */
+void route_members_expire(struct route_members *members, gint64 now_us);
+
+/**
+ * route_members_place - a daemon's place for the replicas of a region
+ * @members: a set
+ * @hash: hash of the daemon's address
+ * @region: region of the replicas; "" for zones without one
+ * @now_us: current time
+ * @place: where to put the place
+ *
+ * Return: false for the first 7 s of the set or of the daemon in it, and for an
+ * unknown daemon; @place is not set then.
+ */
+bool route_members_place(struct route_members *members, guint32 hash,
+			 const char *region, gint64 now_us,
+			 struct route_place *place);
+
 /** Rate limit that a replica names in its answers. */
 struct route_limit {
 	double per_s; /* requests/s from all daemons together; 0: none */
 	gint64 observed_us; /* receipt of the newest answer that tells; 0: never
 			     */
 	struct route_bucket bucket; /* for this daemon's fraction */
+	bool unreported; /* observed by this daemon since its last report */
+	gint64 logged_us; /* last log line; kept by the owner */
 };
 
 #endif
--- a/src/libforward/engine.c
+++ b/src/libforward/engine.c
@@ -266,6 +266,7 @@
 	forward_update_view_current(engine);
 	route_fleet_expire(engine->fleet, now);
 	forward_links_close_expired(engine);
+	forward_peers_update_counts(engine->peers);
 	forward_parts_retry_waiting(engine);
 	cs_timer_arm(engine->clock, timer, now + TICK_US);
 	check_stop(engine, now);
--- a/src/libforward/follow.c
+++ b/src/libforward/follow.c
@@ -300,6 +300,9 @@
 	if (!follow->is_seed)
 		forward_outliers_apply(follow->engine,
 				       json_object_get(document, "outliers"));
+	forward_limits_apply(
+		follow->engine, json_object_get(document, "limits"),
+		follow->is_seed ? NULL : json_object_get(document, "places"));
 	update_daemon_counts(follow);
 	return true;
 }
@@ -399,6 +402,7 @@
 		forward_peers_append_callers(follow->engine->peers, head);
 	else
 		forward_outliers_append_report(follow->engine, head);
+	forward_limits_append_report(follow->engine, follow->is_seed, head);
 	g_string_append(head, " HTTP/1.1\r\nHost: seed\r\n\r\n");
 	http1_client_send(follow->client, head, NULL, 0, false);
 	g_string_free(head, TRUE);
@@ -526,6 +530,11 @@
 	return follow;
 }
 
+bool forward_follow_is_seed(const struct forward_follow *follow)
+{
+	return follow->is_seed;
+}
+
 void forward_follow_destroy(struct forward_follow *follow)
 {
 	if (!follow)
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -99,7 +99,6 @@
 	struct route_replica *replica;
 	struct forward_engine *engine;
 	TAILQ_ENTRY(forward_link) entry;
-	gint64 limit_logged_us; /* last log line about its rate limit */
 	TAILQ_HEAD(idle_connections, forward_connection)
 	idle; /* most recently used first */
 };
@@ -296,6 +295,10 @@
 /* Answers the held calls whose callers lack a change of the routing view. */
 void forward_peers_view_changed(struct forward_peers *peers);
 
+/* Counts the daemons again if the last count is old, and determines the places
+ * of this daemon if it is a seed. */
+void forward_peers_update_counts(struct forward_peers *peers);
+
 /* Appends this daemon and the daemons that call it to the query string of a
  * call to another seed. */
 void forward_peers_append_callers(struct forward_peers *peers, GString *query);
@@ -321,11 +324,44 @@
  * skipped. */
 void forward_outliers_apply(struct forward_engine *engine, json_t *outliers);
 
+/* limits.c: rate limits of replicas, and their exchange through the seeds */
+
+/* Records the rate limit that a replica's answer names. */
+void forward_limits_observe(struct forward_engine *engine,
+			    const struct route_attempt *attempt,
+			    const struct http1_message *message,
+			    enum route_result result);
+
+/* Appends the limits that this daemon has observed since its last call; for a
+ * call between seeds, all that it knows. */
+void forward_limits_append_report(struct forward_engine *engine, bool all,
+				  GString *query);
+
+/* Applies the limits in another daemon's call. */
+void forward_limits_add_report(struct forward_engine *engine,
+			       const char *report);
+
+/* Return: the known limits as a new array, for the answers to calls. */
+json_t *forward_limits_export(struct forward_engine *engine);
+
+/* Return: a daemon's places for the replicas of each region as a new object;
+ * empty if @members gives it none. hash: of its control address. */
+json_t *forward_limits_places(struct forward_engine *engine,
+			      struct route_members *members, guint32 hash);
+
+/* Applies the limits in a seed's answer, and this daemon's places if there are
+ * any. Invalid entries are logged and skipped. */
+void forward_limits_apply(struct forward_engine *engine, json_t *limits,
+			  json_t *places);
+
 /* follow.c: calls this daemon makes to the seeds. */
 struct forward_follow *forward_follow_create(
 	struct forward_engine *engine, const struct forward_source *source);
 void forward_follow_destroy(struct forward_follow *follow);
 
+/* Return: whether this daemon is one of the seeds. */
+bool forward_follow_is_seed(const struct forward_follow *follow);
+
 /* Path of the call to a seed, up to its query string. */
 #define FORWARD_FOLLOW_PATH "/v1/follow?"
 
--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -26,10 +26,6 @@
  * request arrives, and the request could not be retried. */
 #define FRESH_US (1 * CS_US_PER_S)
 
-/* Shortest time between two log lines about new values of a replica's rate
- * limit, or about invalid ones. */
-#define LIMIT_LOG_INTERVAL_US (1 * CS_US_PER_S)
-
 #define attempt_of(pointer, member)                                            \
 	((struct forward_attempt *)((char *)(pointer)-offsetof(                \
 		struct forward_attempt, member)))
@@ -173,79 +169,6 @@
 	TAILQ_INSERT_HEAD(&link->idle, connection, entry);
 }
 
-static void log_limit(struct forward_link *link, const char *state,
-		      double per_s)
-{
-	char text[FORWARD_NUMBER_TEXT_MAX];
-
-	link->limit_logged_us = forward_now(link->engine);
-	g_snprintf(text, sizeof(text), "%.3g", per_s);
-	cs_log(LOG_NOTICE, "replica-limit", "replica", link->replica->id,
-	       "service",
-	       link->replica->pool ? route_pool_name(link->replica->pool)
-				   : NULL,
-	       "state", state, "per_s", text, NULL);
-}
-
-static void log_limit_change(struct forward_link *link,
-			     enum route_limit_change change)
-{
-	struct cs_counters *counters = link->engine->counters;
-	double per_s = link->replica->limit.per_s;
-
-	switch (change) {
-	case ROUTE_LIMIT_SAME:
-		break;
-	case ROUTE_LIMIT_NAMED:
-		cs_counters_add(counters, CS_N_LIMIT_NAMED, 1);
-		log_limit(link, "named", per_s);
-		break;
-	case ROUTE_LIMIT_CHANGED:
-		/* A replica may name another rate in every answer. */
-		if (forward_now(link->engine) - link->limit_logged_us >=
-		    LIMIT_LOG_INTERVAL_US)
-			log_limit(link, "changed", per_s);
-		break;
-	case ROUTE_LIMIT_ENDED:
-		cs_counters_add(counters, CS_N_LIMIT_ENDED, 1);
-		log_limit(link, "ended", per_s);
-		break;
-	}
-}
-
-/* Records the rate limit that an answer names. Any answer of the replica can
- * name one; only a complete good answer shows that there is none. */
-static void observe_limit(const struct forward_attempt *attempt,
-			  const struct http1_message *message,
-			  enum route_result result)
-{
-	struct forward_link *link = attempt->connection->link;
-	struct forward_rate_limit limit =
-		forward_read_rate_limit(link->engine->dialect, message);
-	enum route_limit_change change = ROUTE_LIMIT_SAME;
-
-	if (result == ROUTE_WRONG_INSTANCE)
-		return;
-	switch (limit.kind) {
-	case FORWARD_LIMIT_ABSENT:
-		if (result != ROUTE_ANSWERED)
-			return;
-		break;
-	case FORWARD_LIMIT_VALID:
-		break;
-	case FORWARD_LIMIT_INVALID:
-		cs_counters_add(link->engine->counters, CS_N_LIMIT_INVALID, 1);
-		if (forward_now(link->engine) - link->limit_logged_us >=
-		    LIMIT_LOG_INTERVAL_US)
-			log_limit(link, "invalid", link->replica->limit.per_s);
-		return;
-	}
-	change = route_replica_observe_limit(link->replica, limit.per_s,
-					     attempt->route.sent_us,
-					     forward_now(link->engine));
-	log_limit_change(link, change);
-}
-
 static bool on_answer(struct http1_client *client,
 		      const struct http1_message *message, void *user)
 {
@@ -265,7 +188,8 @@
 		return false;
 	}
 	classification = forward_classify_answer(engine->dialect, message);
-	observe_limit(attempt, message, classification.result);
+	forward_limits_observe(engine, &attempt->route, message,
+			       classification.result);
 	if (classification.result != ROUTE_ANSWERED)
 		log_attempt(attempt, "attempt-failed",
 			    cs_error_name(classification.reason),
--- a/src/libforward/peers.c
+++ b/src/libforward/peers.c
@@ -57,6 +57,7 @@
 	struct forward_peers *peers;
 	struct http1_exchange *exchange;
 	gint64 after; /* revision that the caller has */
+	guint32 hash; /* of the caller's control address */
 	char *zone;
 	struct cs_timer timer;
 };
@@ -78,6 +79,11 @@
 	GHashTable *zone_counts;
 	guint n_daemons;
 	gint64 counted_us;
+	gint64 created_us;
+	/* Set: control addresses of the seeds that called this daemon after
+	 * ROUTE_MEMBERS_SETTLE_US, when they knew of their callers. */
+	GHashTable *seeds;
+	struct route_members *members; /* divide the rate limits of replicas */
 };
 
 static void free_known_peer(void *data)
@@ -117,19 +123,25 @@
 	g_hash_table_replace(members, GUINT_TO_POINTER(hash), g_strdup(zone));
 }
 
+static guint32 own_hash(const struct forward_peers *peers)
+{
+	char address[CS_ENDPOINT_TEXT_SIZE];
+
+	cs_endpoint_print(&peers->engine->settings->control, address);
+	return g_str_hash(address);
+}
+
 /* Return: a new set of this daemon and the daemons that call it. */
 static GHashTable *direct_members(struct forward_peers *peers)
 {
 	const struct forward_settings *settings = peers->engine->settings;
 	GHashTable *members = new_members();
-	char own_address[CS_ENDPOINT_TEXT_SIZE];
 	GHashTableIter iter;
 	gpointer control;
 	gpointer value;
 
 	remove_expired_peers(peers);
-	cs_endpoint_print(&settings->control, own_address);
-	add_member(members, g_str_hash(own_address), settings->zone);
+	add_member(members, own_hash(peers), settings->zone);
 	g_hash_table_iter_init(&iter, peers->known_peers);
 	while (g_hash_table_iter_next(&iter, &control, &value))
 		add_member(members, g_str_hash(control),
@@ -167,6 +179,48 @@
 	return members;
 }
 
+static void update_members(struct forward_peers *peers, GHashTable *up)
+{
+	GHashTable *regions = peers->engine->settings->regions;
+	GHashTableIter iter;
+	gpointer hash;
+	gpointer zone;
+
+	g_hash_table_iter_init(&iter, up);
+	while (g_hash_table_iter_next(&iter, &hash, &zone)) {
+		const char *region = g_hash_table_lookup(regions, zone);
+
+		route_members_seen(peers->members, GPOINTER_TO_UINT(hash),
+				   region ? region : "", peers->counted_us);
+	}
+	route_members_expire(peers->members, peers->counted_us);
+}
+
+/* Return: the places of a daemon, for all regions. A seed that has not heard
+ * from most seeds since it started may be on the smaller side of a cut without
+ * knowing of the daemons on the other side, and assigns none. */
+static json_t *places_of(struct forward_peers *peers, guint32 hash)
+{
+	guint n_seeds = peers->engine->settings->seeds->len;
+
+	if (2 * (1 + g_hash_table_size(peers->seeds)) <= n_seeds)
+		return json_object();
+	return forward_limits_places(peers->engine, peers->members, hash);
+}
+
+/* Other daemons are told their places by a seed; a seed has to do it itself. */
+static void apply_own_places(struct forward_peers *peers)
+{
+	struct forward_engine *engine = peers->engine;
+	json_t *places;
+
+	if (!engine->follow || !forward_follow_is_seed(engine->follow))
+		return;
+	places = places_of(peers, own_hash(peers));
+	forward_limits_apply(engine, NULL, places);
+	json_decref(places);
+}
+
 static void count_daemons(struct forward_peers *peers)
 {
 	g_autoptr(GHashTable) members = all_members(peers);
@@ -184,13 +238,20 @@
 				     GUINT_TO_POINTER(n + 1));
 	}
 	peers->counted_us = forward_now(peers->engine);
+	update_members(peers, members);
+	apply_own_places(peers);
 }
 
-static guint count_daemons_in_zone(struct forward_peers *peers,
-				   const char *zone)
+void forward_peers_update_counts(struct forward_peers *peers)
 {
 	if (forward_now(peers->engine) - peers->counted_us >= COUNT_INTERVAL_US)
 		count_daemons(peers);
+}
+
+static guint count_daemons_in_zone(struct forward_peers *peers,
+				   const char *zone)
+{
+	forward_peers_update_counts(peers);
 	return GPOINTER_TO_UINT(g_hash_table_lookup(peers->zone_counts, zone));
 }
 
@@ -246,9 +307,12 @@
 	if (!strcmp(control, own_address))
 		return;
 	peer = g_new0(struct known_peer, 1);
+	peer->last_seen_us = forward_now(peers->engine);
 	peer->zone = g_strdup(zone);
 	peer->callers = callers ? parse_members(callers) : NULL;
-	peer->last_seen_us = forward_now(peers->engine);
+	if (peer->callers &&
+	    peer->last_seen_us - peers->created_us >= ROUTE_MEMBERS_SETTLE_US)
+		g_hash_table_add(peers->seeds, g_strdup(control));
 	g_hash_table_replace(peers->known_peers, g_strdup(control), peer);
 }
 
@@ -310,19 +374,26 @@
 
 static void send_answer(struct forward_peers *peers,
 			struct http1_exchange *exchange, const char *zone,
-			gint64 after)
+			guint32 hash, gint64 after)
 {
 	const char *view = compress_view(peers, after);
 	guint in_zone = count_daemons_in_zone(peers, zone);
-	GString *body = g_string_sized_new(view ? strlen(view) + 128 : 128);
+	GString *body = g_string_sized_new(view ? strlen(view) + 256 : 256);
+	json_t *limits = forward_limits_export(peers->engine);
+	json_t *places = places_of(peers, hash);
+	g_autofree char *limits_text = cs_json_print(limits);
+	g_autofree char *places_text = cs_json_print(places);
 	struct http1_reply reply = {.status = 200};
 
 	g_string_printf(body,
 			"{\"daemons\": %u, \"daemons_in_zone\": %u, "
-			"\"age_ms\": %" G_GINT64_FORMAT ", \"outliers\": %s",
+			"\"age_ms\": %" G_GINT64_FORMAT ", \"outliers\": %s, "
+			"\"limits\": %s, \"places\": %s",
 			peers->n_daemons, in_zone,
 			forward_view_age(peers->engine) / CS_US_PER_MS,
-			print_outliers(peers));
+			print_outliers(peers), limits_text, places_text);
+	json_decref(limits);
+	json_decref(places);
 	if (view)
 		g_string_append_printf(body, ", \"picture\": \"%s\"", view);
 	g_string_append_c(body, '}');
@@ -343,7 +414,8 @@
 static void answer_held_call(struct held_call *call)
 {
 	http1_exchange_set_data(call->exchange, NULL);
-	send_answer(call->peers, call->exchange, call->zone, call->after);
+	send_answer(call->peers, call->exchange, call->zone, call->hash,
+		    call->after);
 	free_held_call(call);
 }
 
@@ -377,19 +449,20 @@
 
 static void answer_or_hold(struct forward_peers *peers,
 			   struct http1_exchange *exchange, const char *zone,
-			   gint64 after)
+			   guint32 hash, gint64 after)
 {
 	gint64 wait_us = hold_period(peers, after);
 	struct held_call *call;
 
 	if (!wait_us) {
-		send_answer(peers, exchange, zone, after);
+		send_answer(peers, exchange, zone, hash, after);
 		return;
 	}
 	call = g_new0(struct held_call, 1);
 	call->peers = peers;
 	call->exchange = exchange;
 	call->after = after;
+	call->hash = hash;
 	call->zone = g_strdup(zone);
 	call->timer.fire = on_hold_timeout;
 	TAILQ_INSERT_TAIL(&peers->held_calls, call, link);
@@ -421,6 +494,7 @@
 	const char *zone = NULL;
 	const char *after = NULL;
 	const char *seen = NULL;
+	const char *limits = NULL;
 	struct sockaddr_in address;
 
 	if (g_str_has_prefix(target, FORWARD_FOLLOW_PATH))
@@ -432,6 +506,7 @@
 		zone = g_hash_table_lookup(parameters, "zone");
 		after = g_hash_table_lookup(parameters, "after");
 		seen = g_hash_table_lookup(parameters, "seen");
+		limits = g_hash_table_lookup(parameters, "limits");
 		refusal.status = 400;
 	}
 	if (!control || !zone || !after ||
@@ -443,7 +518,10 @@
 		    g_hash_table_lookup(parameters, "callers"));
 	if (seen)
 		forward_outliers_add_report(peers->engine, seen);
-	answer_or_hold(peers, exchange, zone, strtoll(after, NULL, 10));
+	if (limits)
+		forward_limits_add_report(peers->engine, limits);
+	answer_or_hold(peers, exchange, zone, g_str_hash(control),
+		       strtoll(after, NULL, 10));
 }
 
 static void on_caller_disconnected(struct http1_exchange *exchange, void *user)
@@ -462,12 +540,16 @@
 
 	hooks.user = peers;
 	peers->engine = engine;
+	peers->created_us = forward_now(engine);
 	peers->known_peers = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   g_free, free_known_peer);
 	peers->zone_counts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	peers->compressed_views = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, g_free, g_free);
+	peers->members = route_members_create(forward_now(engine));
+	peers->seeds =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	TAILQ_INIT(&peers->held_calls);
 	if (engine->settings->control.sin_port)
 		peers->server = http1_server_create(
@@ -489,6 +571,8 @@
 	http1_server_destroy(peers->server);
 	g_hash_table_unref(peers->known_peers);
 	g_hash_table_unref(peers->zone_counts);
+	g_hash_table_unref(peers->seeds);
+	route_members_destroy(peers->members);
 	g_hash_table_unref(peers->compressed_views);
 	g_free(peers->outliers);
 	g_free(peers);
--- a/src/libroute/choose.c
+++ b/src/libroute/choose.c
@@ -83,11 +83,12 @@
 static bool has_cold_capacity(const struct route_pool *pool,
 			      struct route_replica *replica, gint64 now_us)
 {
-	double rate = cold_rate(pool);
+	struct route_bucket_rate rate = {cold_rate(pool), 0};
 
 	if (pool->cold_per_s <= 0 || replica->cold_until_us <= now_us)
 		return true;
-	route_bucket_refill(&replica->cold_bucket, rate, MAX(rate, 1), now_us);
+	rate.capacity = MAX(rate.per_s, 1);
+	route_bucket_refill(&replica->cold_bucket, &rate, now_us);
 	return route_bucket_ready(&replica->cold_bucket);
 }
 
--- a/src/libroute/fleet.c
+++ b/src/libroute/fleet.c
@@ -39,6 +39,9 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet->round_trips =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	TAILQ_INIT(&fleet->limited);
+	fleet->places =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return fleet;
 }
 
@@ -48,6 +51,8 @@
 	g_hash_table_remove(fleet->replicas, replica->id);
 	if (replica->lapsed_us)
 		fleet->n_lapsed--;
+	if (replica->limit.observed_us)
+		TAILQ_REMOVE(&fleet->limited, replica, limited);
 	TAILQ_REMOVE(&replica->pool->replicas, replica, link);
 	replica->pool = NULL;
 	route_replica_unref(replica);
@@ -74,6 +79,7 @@
 	g_hash_table_unref(fleet->evacuated);
 	g_hash_table_unref(fleet->work_by_route);
 	g_hash_table_unref(fleet->round_trips);
+	g_hash_table_unref(fleet->places);
 	g_hash_table_unref(fleet->regions);
 	route_table_unref(fleet->table);
 	g_free(fleet->zone);
--- a/src/libroute/fleet.h
+++ b/src/libroute/fleet.h
@@ -22,6 +22,12 @@
 	guint extra[ROUTE_BUDGET_INTERVALS]; /* retries and hedges */
 };
 
+/* This daemon's place for the replicas of a region. */
+struct route_told_place {
+	struct route_place place;
+	gint64 told_us;
+};
+
 struct route_fleet {
 	char *zone;
 	const char *region;
@@ -31,6 +37,8 @@
 	GHashTable *evacuated; /* set of zone names */
 	GHashTable *work_by_route; /* name of a route to struct route_work */
 	GHashTable *round_trips; /* zone name to double, microseconds */
+	TAILQ_HEAD(, route_replica) limited; /* have named a rate limit */
+	GHashTable *places; /* region name to struct route_told_place */
 	struct route_table *table;
 	struct route_bounds bounds;
 	guint n_lapsed; /* replicas kept although no longer listed */
--- a/src/libroute/limit.c
+++ b/src/libroute/limit.c
@@ -1,39 +1,109 @@
 /* The rate limits that replicas name in their answers. */
 #include "fleet.h"
 
-/* Part of a limit that daemons use who were not told their fraction, all
- * together. The rest covers the daemons that count more of them as up. */
+/* Part of a limit that daemons use whose place is not up to date, all together.
+ * The others may use the whole limit meanwhile, and the sum has to stay below
+ * one and a half times the limit. */
 #define UNTOLD_PART 0.5
 
+/* Part of a limit for the daemons in the replica's region. */
+#define NEAR_PART 0.9
+
 /* Time in which a bucket that holds more than one token fills up. */
 #define BURST_US (250 * CS_US_PER_MS)
 
-/* Return: requests/s that this daemon may send to a replica with a limit. */
-static double own_rate(const struct route_replica *replica)
+/* How long a place is up to date after it was told: three calls to a seed. */
+#define PLACE_LIFETIME_US (3 * CS_US_PER_S)
+
+/* If no answer tells about a limit for this long, the daemons with a fraction
+ * may have no requests for the replica. Then all daemons may send this part of
+ * it together, so that one of them learns when it ends. */
+#define STALE_US   (10 * CS_US_PER_S)
+#define PROBE_PART 0.1
+
+/* Allows for the rounding of a limit's parts. */
+#define ROUNDING 1e-9
+
+double route_place_fraction(const struct route_place *place, double per_s)
 {
-	const struct route_bounds *bounds = &replica->pool->fleet->bounds;
+	guint n = place->near ? place->n_near : place->n_far;
+	double part = place->near ? NEAR_PART : 1 - NEAR_PART;
+	guint holders;
 
-	return replica->limit.per_s * UNTOLD_PART / MAX(bounds->daemons, 1);
+	if (!place->n_near || !place->n_far)
+		part = 1;
+	holders = (guint)CLAMP(part * per_s + ROUNDING, 1, MAX(n, 1));
+	return place->position < holders ? part / holders : 0;
+}
+
+void route_fleet_set_place(struct route_fleet *fleet, const char *region,
+			   const struct route_place *place, gint64 now_us)
+{
+	struct route_told_place *told =
+		g_hash_table_lookup(fleet->places, region);
+
+	if (!told) {
+		told = g_new(struct route_told_place, 1);
+		g_hash_table_insert(fleet->places, g_strdup(region), told);
+	}
+	*told = (struct route_told_place){*place, now_us};
+}
+
+/* Return: this daemon's fraction of a replica's limit. */
+static double own_fraction(const struct route_replica *replica, gint64 now_us)
+{
+	const struct route_fleet *fleet = replica->pool->fleet;
+	const struct route_limit *limit = &replica->limit;
+	const struct route_told_place *told = g_hash_table_lookup(
+		fleet->places, replica->region ? replica->region : "");
+	guint daemons = MAX(fleet->bounds.daemons, 1);
+	double fraction = 0;
+
+	if (told) {
+		daemons = MAX(daemons, told->place.n_near + told->place.n_far);
+		fraction = route_place_fraction(&told->place, limit->per_s);
+	}
+	if (told && now_us - told->told_us > PLACE_LIFETIME_US)
+		fraction *= UNTOLD_PART;
+	if (!told)
+		fraction = UNTOLD_PART / daemons;
+	else if (now_us - limit->observed_us > STALE_US)
+		fraction = MAX(fraction, PROBE_PART / daemons);
+	return fraction;
 }
 
 bool route_limit_allows(struct route_replica *replica, gint64 now_us)
 {
 	struct route_limit *limit = &replica->limit;
-	double rate;
+	struct route_bucket_rate rate;
 
 	if (limit->per_s <= 0)
 		return true;
-	rate = own_rate(replica);
-	route_bucket_refill(&limit->bucket, rate,
-			    MAX(rate * BURST_US / CS_US_PER_S, 1), now_us);
+	rate.per_s = limit->per_s * own_fraction(replica, now_us);
+	rate.capacity = MAX(rate.per_s * BURST_US / CS_US_PER_S, 1);
+	route_bucket_refill(&limit->bucket, &rate, now_us);
 	return route_bucket_ready(&limit->bucket);
 }
 
-static enum route_limit_change change_between(double before, double after)
+/* Sets a newer rate and returns the change. */
+static enum route_limit_change set_limit(struct route_replica *replica,
+					 double per_s, gint64 observed_us,
+					 gint64 now_us)
 {
-	if (before == after)
+	struct route_limit *limit = &replica->limit;
+	double before = limit->per_s;
+
+	if (!limit->observed_us && replica->pool)
+		TAILQ_INSERT_TAIL(&replica->pool->fleet->limited, replica,
+				  limited);
+
+	if (before <= 0)
+		route_bucket_start(&limit->bucket, now_us);
+	limit->per_s = per_s;
+	limit->observed_us = observed_us;
+	if (before == per_s)
 		return ROUTE_LIMIT_SAME;
-	if (after <= 0)
+	if (per_s <= 0)
 		return ROUTE_LIMIT_ENDED;
 	return before > 0 ? ROUTE_LIMIT_CHANGED : ROUTE_LIMIT_NAMED;
 }
@@ -43,17 +113,28 @@
 	gint64 now_us)
 {
 	struct route_limit *limit = &replica->limit;
-	double before = limit->per_s;
 
-	if (per_s <= 0 && sent_us < limit->observed_us)
+	if (per_s <= 0 && (limit->per_s <= 0 || sent_us < limit->observed_us))
 		return ROUTE_LIMIT_SAME;
-	if (per_s <= 0 && before <= 0)
-		return ROUTE_LIMIT_SAME;
-	if (before <= 0)
-		limit->bucket = (struct route_bucket){.refilled_us = now_us};
-	limit->per_s = per_s;
-	limit->observed_us = now_us;
-	return change_between(before, per_s);
+	limit->unreported = true;
+	return set_limit(replica, per_s, now_us, now_us);
+}
+
+struct route_replica *route_fleet_learn_limit(struct route_fleet *fleet,
+					      const char *id,
+					      gint64 incarnation,
+					      const struct route_limit *limit,
+					      enum route_limit_change *change,
+					      gint64 now_us)
+{
+	struct route_replica *replica =
+		g_hash_table_lookup(fleet->replicas, id);
+
+	if (!replica || replica->incarnation != incarnation ||
+	    limit->observed_us <= replica->limit.observed_us)
+		return NULL;
+	*change = set_limit(replica, limit->per_s, limit->observed_us, now_us);
+	return replica;
 }
 
 void route_fleet_each_limit(struct route_fleet *fleet,
@@ -61,14 +142,8 @@
 					  void *user),
 			    void *user)
 {
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, fleet->replicas);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct route_replica *replica = value;
+	struct route_replica *replica;
 
-		if (replica->limit.observed_us)
-			visit(replica, user);
-	}
+	TAILQ_FOREACH (replica, &fleet->limited, limited)
+		visit(replica, user);
 }
--- a/test/unit/net.c
+++ b/test/unit/net.c
@@ -135,6 +135,22 @@
 		close_connection(connection);
 }
 
+static bool has_request(const struct server_connection *connection)
+{
+	return strstr(connection->head->str, "\r\n\r\n") != NULL;
+}
+
+void net_server_reply_held(struct net_server *server)
+{
+	for (guint i = 0; i < server->accepted->len; i++) {
+		struct server_connection *connection =
+			server->accepted->pdata[i];
+
+		if (connection->watch.fd >= 0 && has_request(connection))
+			send_reply(connection);
+	}
+}
+
 static void on_ready(struct http1_watch *watch, guint32 events)
 {
 	struct server_connection *connection = (void *)watch;
@@ -147,7 +163,7 @@
 	}
 	g_string_append_len(connection->server->received, buffer, n);
 	g_string_append_len(connection->head, buffer, n);
-	if (strstr(connection->head->str, "\r\n\r\n"))
+	if (has_request(connection) && !connection->server->hold)
 		send_reply(connection);
 }
 
--- a/test/unit/net.h
+++ b/test/unit/net.h
@@ -61,6 +61,7 @@
 	struct net *net;
 	const char *reply; /* after each request head; NULL: no reply */
 	bool close_after; /* close the connection after each reply */
+	bool hold; /* reply only in net_server_reply_held() */
 	guint requests; /* request heads received */
 	guint connections; /* accepted so far */
 	guint n_open; /* connections open at present */
@@ -72,6 +73,9 @@
 struct net_server *net_server_create(struct net *net, guint number,
 				     const char *reply, bool close_after);
 
+/* Replies to all requests that a server with hold set has received. */
+void net_server_reply_held(struct net_server *server);
+
 /* Closes all connections and the listener and frees the server. */
 void net_server_destroy(struct net_server *server);
 
--- a/test/unit/test_follow.c
+++ b/test/unit/test_follow.c
@@ -294,6 +294,39 @@
 }
 END_TEST
 
+/* Sends a call with a further parameter to a seed. */
+static bool follow_call_is_answered(struct net *net, struct daemon *seed,
+				    const char *parameter)
+{
+	struct net_client *client = net_connect(net, &seed->settings.control);
+	g_autofree char *head = g_strdup_printf(
+		"GET /v1/follow?control=127.0.0.1:9&zone=a&after=0%s "
+		"HTTP/1.1\r\nHost: s\r\n\r\n",
+		parameter);
+	bool answered;
+
+	net_send(client, head);
+	net_advance(net, 5);
+	net_read(client);
+	answered = g_str_has_prefix(client->received->str, "HTTP/1.1 200 ");
+	net_close(client);
+	return answered;
+}
+
+static void read_limit(struct route_replica *replica, void *user)
+{
+	*(double *)user = replica->limit.per_s;
+}
+
+static double limit_of(struct daemon *daemon)
+{
+	double per_s = 0;
+
+	route_fleet_each_limit(forward_engine_fleet(daemon->engine), read_limit,
+			       &per_s);
+	return per_s;
+}
+
 /* A report is read up to its first malformed entry; a malformed outlier is left
  * out. Neither makes the call fail. */
 START_TEST(malformed_reports_and_outliers_are_ignored)
@@ -314,20 +347,11 @@
 	list_replica(&seed);
 	daemon_confirm_view(&net, &seed, 5);
 	for (gsize i = 0; i < G_N_ELEMENTS(reports); i++) {
-		struct net_client *client =
-			net_connect(&net, &seed.settings.control);
-		g_autofree char *head = g_strdup_printf(
-			"GET /v1/follow?control=127.0.0.1:9&zone=a&after=0"
-			"&seen=%s HTTP/1.1\r\nHost: s\r\n\r\n",
-			reports[i]);
-
-		net_send(client, head);
-		net_advance(&net, 5);
-		net_read(client);
-		ck_assert_msg(g_str_has_prefix(client->received->str,
-					       "HTTP/1.1 200 "),
+		g_autofree char *parameter =
+			g_strdup_printf("&seen=%s", reports[i]);
+
+		ck_assert_msg(follow_call_is_answered(&net, &seed, parameter),
 			      "report %zu", i);
-		net_close(client);
 	}
 	ck_assert_int_eq(replica_of(&seed)->pooled.at_us, 0);
 	daemon_stop(&seed);
@@ -356,6 +380,86 @@
 }
 END_TEST
 
+/* A malformed limit or place is left out, and the others are used. */
+START_TEST(malformed_limits_and_places_are_ignored)
+{
+	static const char *const reports[] = {
+		"u%253A1:0:9",
+		"u%253A1:0:x:0",
+		"u%253A1:x:9:0",
+		"u%253A1:0:-9:0",
+		"u%253A1:0:nan:0",
+		"u%253A1:0:inf:0",
+		"u%253A1:0:9:-1",
+		"u%253A1:0:1e400:0",
+		"u%253A1:1:9:0",
+		"u%253A1:0:9:0:1",
+		":::",
+		":",
+		"nobody:0:9:0",
+		"",
+	};
+	static const char *const bodies[] = {
+		"\"limits\": [[\"u:1\", 0, 9]]",
+		"\"limits\": [[\"u:1\", 0, \"9\", 0]]",
+		"\"limits\": [[\"u:1\", 0, -9, 0]]",
+		"\"limits\": [[\"u:1\", 0, 9, -1]]",
+		"\"limits\": [[\"u:1\", 1, 9, 0]]",
+		"\"limits\": [7]",
+		"\"limits\": {\"u:1\": 9}",
+		"\"places\": {\"east\": [true, 0, 0, 0]}",
+		"\"places\": {\"east\": [true, 3, 3, 9]}",
+		"\"places\": {\"east\": [true, -1, 3, 9]}",
+		"\"places\": {\"east\": [true, 0, 3]}",
+		"\"places\": {\"east\": 7}",
+		"\"places\": [7]",
+	};
+	struct net net = net_create();
+	struct daemon seed;
+
+	/* Limits are ignored that were observed before the clock started. */
+	cs_clock_advance(net.clock, 10 * CS_US_PER_S);
+	daemon_start(&net, &seed, 0, "a");
+	list_replica(&seed);
+	daemon_confirm_view(&net, &seed, 5);
+	for (gsize i = 0; i < G_N_ELEMENTS(reports); i++) {
+		g_autofree char *parameter =
+			g_strdup_printf("&limits=%s", reports[i]);
+
+		ck_assert_msg(follow_call_is_answered(&net, &seed, parameter),
+			      "report %zu", i);
+		ck_assert_msg(replica_of(&seed)->limit.observed_us == 0,
+			      "report %zu", i);
+	}
+	ck_assert(follow_call_is_answered(&net, &seed,
+					  "&limits=x,u%253A1:0:9:0,"));
+	ck_assert_double_eq(limit_of(&seed), 9);
+	daemon_stop(&seed);
+	for (gsize i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		g_autofree char *body = g_strdup_printf(
+			"{\"daemons\": 2, \"daemons_in_zone\": 1, "
+			"\"age_ms\": 0, %s}",
+			bodies[i]);
+		g_autofree char *reply = g_strdup_printf(
+			"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+			strlen(body), body);
+		/* The address of the first seed. */
+		struct net_server *server =
+			net_server_create(&net, 72, reply, true);
+		struct daemon follower;
+
+		daemon_start(&net, &follower, 2, "a");
+		list_replica(&follower);
+		net_advance(&net, 200);
+		ck_assert_uint_gt(server->requests, 0);
+		ck_assert_msg(limit_of(&follower) == 0, "body %zu", i);
+		daemon_stop(&follower);
+		net_server_destroy(server);
+	}
+	net_destroy(&net);
+}
+END_TEST
+
 /* A call that lists many callers must not exceed the size limit of a request.
  * At the target of 2,000 daemons a seed has 667 callers. The answer counts the
  * seed, the daemon that calls and the callers it lists. */
@@ -424,5 +528,6 @@
 	  a_daemon_that_changes_its_seed_counts_once,
 	  outliers_seen_by_one_daemon_reach_the_others,
 	  malformed_reports_and_outliers_are_ignored,
+	  malformed_limits_and_places_are_ignored,
 	  a_seed_accepts_a_call_with_2000_callers,
 	  a_follower_switches_from_a_seed_with_a_malformed_view)
