forward: Refuse a request at once that no rate limit allows in time

Callers waited a quarter of their objective for an answer that could not come: parts queued for a token that this daemon would not have by then, and a query of many shards spent tokens at the others before it was refused.

The choice of a replica now tells a limit that outlasts the part's wait from a replica without a free slot; such a part fails at once, and a request that cannot reach the share of parts that its route asks for is refused before anything is sent, with the result code rate-limit. Retry-After is the time until this daemon may send all its parts, 1 s at most: by then a seed has told it of an end.

Test: a_request_that_no_rate_limit_allows_is_refused_at_once failed before (the request was sent to the second replica after a wait, or refused as overload).

--- a/include/cuminsail/error.h
+++ b/include/cuminsail/error.h
@@ -58,7 +58,9 @@
 	X(CS_E_ROUTE, -35, 404, "unknown-route",                               \
 	  "no route for this host and path")                                   \
 	X(CS_E_HEADER, -36, 400, "bad-header",                                 \
-	  "a needed header line is missing or not valid")
+	  "a needed header line is missing or not valid")                      \
+	X(CS_E_RATE_LIMIT, -37, 503, "rate-limit",                             \
+	  "all upstreams are at their rate limits")
 
 enum cs_error {
 	CS_OK = 0,
--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -519,12 +519,15 @@
 	const struct route_work *work;
 	struct route_replica *const *tried; /* replicas to exclude */
 	guint n_tried;
+	gint64 wait_us; /* longest time that the request may wait */
 };
 
 /** Why no replica is available. */
 enum route_unavailable {
 	ROUTE_AVAILABLE, /* a replica was chosen */
 	ROUTE_NO_CAPACITY, /* all usable replicas are at their limits */
+	ROUTE_RATE_LIMITED, /* so are their rate limits, for longer than wait_us
+			     */
 	ROUTE_NO_REPLICA, /* no replica is usable for the request */
 };
 
@@ -546,6 +549,16 @@
 					gint64 now_us,
 					enum route_unavailable *reason);
 
+/**
+ * route_pool_limit_wait_us - time until a rate limit allows a request
+ * @pool: a pool
+ * @now_us: current time
+ *
+ * Return: the shortest time of its usable replicas, in microseconds; 0 if one
+ * has no rate limit, G_MAXINT64 if this daemon may send to none of them.
+ */
+gint64 route_pool_limit_wait_us(struct route_pool *pool, gint64 now_us);
+
 /**
  * route_fleet_work - get the estimated processing time of a route
  * @fleet: a fleet
--- a/src/libforward/job.c
+++ b/src/libforward/job.c
@@ -204,18 +204,25 @@
 	return job;
 }
 
-/* Return: whether so many parts have no replica at all that the job fails. */
-static bool too_few_replicas(struct forward_job *job)
+/* Return: a result code if so many parts can be sent to no replica in time that
+ * the job fails, else 0. */
+static int too_few_replicas(struct forward_job *job)
 {
 	guint n_unavailable = 0;
+	int code = CS_E_RATE_LIMIT;
 
 	for (guint i = 0; i < job->n_parts; i++) {
 		enum route_unavailable unavailable;
 
 		forward_part_choose(&job->parts[i], &unavailable);
-		n_unavailable += unavailable == ROUTE_NO_REPLICA;
+		if (unavailable == ROUTE_NO_REPLICA)
+			code = CS_E_NO_REPLICA;
+		n_unavailable += unavailable == ROUTE_NO_REPLICA ||
+				 unavailable == ROUTE_RATE_LIMITED;
 	}
-	return n_unavailable > job->n_parts - forward_parts_needed(job);
+	if (n_unavailable <= job->n_parts - forward_parts_needed(job))
+		return 0;
+	return code;
 }
 
 void forward_job_begin(struct forward_engine *engine,
@@ -223,9 +230,10 @@
 		       const struct http1_message *request, struct route *route)
 {
 	struct forward_job *job = create_job(engine, exchange, request, route);
+	int code = too_few_replicas(job);
 
-	if (too_few_replicas(job)) {
-		refuse(job, CS_E_NO_REPLICA);
+	if (code) {
+		refuse(job, code);
 		return;
 	}
 	for (guint i = 0; i < job->n_parts; i++)
--- a/src/libforward/part.c
+++ b/src/libforward/part.c
@@ -73,14 +73,32 @@
 	return false;
 }
 
+/* Return: longest wait of a part of the job for a free slot. */
+static gint64 wait_max(const struct forward_job *job)
+{
+	return (gint64)(WAIT_MAX_SHARE *
+			(double)(job->objective_us - job->started_us));
+}
+
+/* Return: time at which a part that waits fails. */
+static gint64 wait_end(const struct forward_part *part)
+{
+	gint64 since_us = part->waiting_since_us;
+
+	if (!since_us)
+		since_us = forward_now(part->job->engine);
+	return since_us + wait_max(part->job);
+}
+
 struct route_replica *forward_part_choose(struct forward_part *part,
 					  enum route_unavailable *unavailable)
 {
+	gint64 now = forward_now(part->job->engine);
 	struct route_criteria criteria = {part->job->route, part->job->work,
-					  part->tried, part->n_tried};
+					  part->tried, part->n_tried,
+					  MAX(wait_end(part) - now, 0)};
 
-	return route_pool_choose(part->pool, &criteria,
-				 forward_now(part->job->engine), unavailable);
+	return route_pool_choose(part->pool, &criteria, now, unavailable);
 }
 
 static bool send_to(struct forward_part *part, struct route_replica *replica)
@@ -144,6 +162,8 @@
 		dequeue_waiting(part);
 	else if (unavailable == ROUTE_NO_REPLICA)
 		fail_part(part, part->reason ? part->reason : CS_E_NO_REPLICA);
+	else if (unavailable == ROUTE_RATE_LIMITED)
+		fail_part(part, part->reason ? part->reason : CS_E_RATE_LIMIT);
 	else if (part->state != PART_WAITING)
 		enqueue_waiting(part);
 }
@@ -296,7 +316,7 @@
 		return;
 	replica = forward_part_choose(part, &unavailable);
 	if (!replica) {
-		if (unavailable == ROUTE_NO_CAPACITY)
+		if (unavailable != ROUTE_NO_REPLICA)
 			attempt->hedge_due_us = now + HEDGE_RETRY_US;
 		return;
 	}
@@ -337,15 +357,12 @@
 
 gint64 forward_part_run_timers(struct forward_part *part, gint64 now)
 {
-	struct forward_job *job = part->job;
 	struct forward_attempt *attempt;
 	struct forward_attempt *next;
 	gint64 due = G_MAXINT64;
 
 	if (part->state == PART_WAITING) {
-		due = part->waiting_since_us +
-		      (gint64)(WAIT_MAX_SHARE *
-			       (double)(job->objective_us - job->started_us));
+		due = wait_end(part);
 		if (now < due)
 			return due;
 		fail_part(part, part->reason ? part->reason : CS_E_OVERLOAD);
--- a/src/libforward/reply.c
+++ b/src/libforward/reply.c
@@ -14,6 +14,10 @@
  * platform's list changes. */
 #define RETRY_CONFIG_MS 500
 
+/* Longest Retry-After for rate limits: a call to a seed then has told this
+ * daemon of a limit that ended. */
+#define RETRY_LIMIT_MAX_MS 1000
+
 static void log_outcome(const struct forward_job *job, const char *outcome,
 			guint status)
 {
@@ -140,11 +144,31 @@
 	return failure;
 }
 
-static gint64 retry_after_ms(int code)
+/* Return: time until this daemon may send all parts of the job. */
+static gint64 rate_limit_wait_ms(const struct forward_job *job)
 {
-	return code == CS_E_NO_REPLICA || code == CS_E_NOT_READY
-		       ? RETRY_CONFIG_MS
-		       : RETRY_OVERLOAD_MS;
+	gint64 now = forward_now(job->engine);
+	gint64 wait_ms = RETRY_OVERLOAD_MS;
+
+	for (guint i = 0; i < job->n_parts; i++)
+		wait_ms =
+			MAX(wait_ms,
+			    route_pool_limit_wait_us(job->parts[i].pool, now) /
+				    CS_US_PER_MS);
+	return MIN(wait_ms, RETRY_LIMIT_MAX_MS);
+}
+
+static gint64 retry_after_ms(const struct forward_job *job, int code)
+{
+	switch (code) {
+	case CS_E_NO_REPLICA:
+	case CS_E_NOT_READY:
+		return RETRY_CONFIG_MS;
+	case CS_E_RATE_LIMIT:
+		return rate_limit_wait_ms(job);
+	default:
+		return RETRY_OVERLOAD_MS;
+	}
 }
 
 static guint status_of(const struct forward_job *job, int code)
@@ -174,7 +198,7 @@
 	if (reply.status == 503)
 		g_snprintf(lines + used, sizeof(lines) - used,
 			   "Retry-After: %.3f\r\n",
-			   (double)retry_after_ms(code) / 1000);
+			   (double)retry_after_ms(job, code) / 1000);
 	reply.header_lines = lines;
 	http1_exchange_reply(job->exchange, &reply);
 }
--- a/src/libroute/choose.c
+++ b/src/libroute/choose.c
@@ -155,8 +155,12 @@
 
 		if (!is_eligible(criteria, replica, now_us))
 			continue;
-		if (*reason == ROUTE_NO_REPLICA)
-			*reason = ROUTE_NO_CAPACITY;
+		if (route_limit_wait_us(replica, now_us) > criteria->wait_us) {
+			if (*reason == ROUTE_NO_REPLICA)
+				*reason = ROUTE_RATE_LIMITED;
+			continue;
+		}
+		*reason = ROUTE_NO_CAPACITY;
 		if (!has_connection(replica, now_us) ||
 		    !has_cold_capacity(pool, replica, now_us) ||
 		    !route_limit_allows(replica, now_us))
--- a/src/libroute/fleet.h
+++ b/src/libroute/fleet.h
@@ -92,4 +92,14 @@
  */
 bool route_limit_allows(struct route_replica *replica, gint64 now_us);
 
+/**
+ * route_limit_wait_us - time until a replica's rate limit allows a request
+ * @replica: a replica in a pool
+ * @now_us: current time
+ *
+ * Return: microseconds; 0 if it allows one now, G_MAXINT64 if this daemon has
+ * no part of the limit.
+ */
+gint64 route_limit_wait_us(struct route_replica *replica, gint64 now_us);
+
 #endif
--- a/src/libroute/limit.c
+++ b/src/libroute/limit.c
@@ -72,17 +72,50 @@
 	return fraction;
 }
 
-bool route_limit_allows(struct route_replica *replica, gint64 now_us)
+static struct route_bucket_rate refill(struct route_replica *replica,
+				       gint64 now_us)
 {
 	struct route_limit *limit = &replica->limit;
 	struct route_bucket_rate rate;
 
-	if (limit->per_s <= 0)
-		return true;
 	rate.per_s = limit->per_s * own_fraction(replica, now_us);
 	rate.capacity = MAX(rate.per_s * BURST_US / CS_US_PER_S, 1);
 	route_bucket_refill(&limit->bucket, &rate, now_us);
-	return route_bucket_ready(&limit->bucket);
+	return rate;
+}
+
+bool route_limit_allows(struct route_replica *replica, gint64 now_us)
+{
+	return !route_limit_wait_us(replica, now_us);
+}
+
+gint64 route_limit_wait_us(struct route_replica *replica, gint64 now_us)
+{
+	const struct route_bucket *bucket = &replica->limit.bucket;
+	struct route_bucket_rate rate;
+
+	if (replica->limit.per_s <= 0)
+		return 0;
+	rate = refill(replica, now_us);
+	if (route_bucket_ready(bucket))
+		return 0;
+	if (rate.per_s <= 0)
+		return G_MAXINT64;
+	return MAX((gint64)((1 - bucket->tokens) / rate.per_s * CS_US_PER_S),
+		   1);
+}
+
+gint64 route_pool_limit_wait_us(struct route_pool *pool, gint64 now_us)
+{
+	gint64 wait_us = G_MAXINT64;
+	struct route_replica *replica;
+
+	TAILQ_FOREACH (replica, &pool->replicas, link) {
+		if (route_replica_usable(replica, now_us))
+			wait_us = MIN(wait_us,
+				      route_limit_wait_us(replica, now_us));
+	}
+	return wait_us;
 }
 
 /* Sets a newer rate and returns the change. */
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -317,6 +317,41 @@
 }
 END_TEST
 
+/* Names a limit at both replicas of the service and spends what it allows. */
+static void spend_rate_limits(struct fixture *fixture, const char *path)
+{
+	for (guint i = 0; i < 2; i++)
+		start_replica(fixture, i, answer_with("200", "Takes: 1\r\n"),
+			      false);
+	for (guint i = 0; i < 4; i++)
+		net_close(send_request(fixture, path));
+}
+
+START_TEST(a_request_that_no_rate_limit_allows_is_refused_at_once)
+{
+	struct fixture fixture;
+	struct net_client *client;
+	double retry_after = 0;
+	guint requests;
+
+	fixture_create(&fixture);
+	fixture_publish(&fixture);
+	spend_rate_limits(&fixture, "GET /one/");
+	requests = fixture.servers[0]->requests + fixture.servers[1]->requests;
+	client = send_request(&fixture, "GET /one/");
+	ck_assert_uint_eq(status_of(client), 503);
+	(void)sscanf(strstr(client->received->str, "Retry-After: "),
+		     "Retry-After: %lf", &retry_after);
+	/* A quarter of 1 a second for each of two daemons: up to 4 s, cut. */
+	ck_assert(retry_after > 0.1 && retry_after <= 1);
+	ck_assert_uint_eq(fixture.servers[0]->requests +
+				  fixture.servers[1]->requests,
+			  requests);
+	net_close(client);
+	fixture_destroy(&fixture);
+}
+END_TEST
+
 /* An answer that belongs to another request tells nothing about this one's
  * replica. */
 START_TEST(a_rate_limit_on_an_answer_to_another_request_is_ignored)
@@ -830,6 +865,7 @@
 
 UNIT_MAIN("forward", a_request_and_its_answer_are_forwarded_unchanged,
 	  only_a_valid_rate_limit_of_the_replica_counts,
+	  a_request_that_no_rate_limit_allows_is_refused_at_once,
 	  a_rate_limit_on_an_answer_to_another_request_is_ignored,
 	  a_failed_attempt_is_retried_only_if_allowed,
 	  a_503_is_sent_if_both_replicas_did_not_run_it,
