http: Cut off a replica that sends interim answers without end

A replica in trouble may send bytes without end until the caller closes. Interim answers (1xx) were skipped one by one, each with a new limit, so a part waited for its deadline while the daemon read: 64 MB in the test without a cut.

All interim answers before an answer now share the limit of one head. The test has 15 kinds of endless bytes, in the status line, the head, a body by length, chunks or end of connection, chunk extensions and trailers; the other 13 were cut off before too. It failed with interim answers (case 13).

--- a/src/libhttp/message.c
+++ b/src/libhttp/message.c
@@ -4,6 +4,9 @@
 #include <http_parser.h>
 #include <string.h>
 
+/* Bytes of an interim answer without its header fields. */
+#define INTERIM_BYTES strlen("HTTP/1.1 100 \r\n\r\n")
+
 struct http1_reader {
 	http_parser parser;
 	const struct http1_limits *limits;
@@ -183,8 +186,11 @@
 	struct http1_reader *reader = reader_of(parser);
 
 	if (is_interim(reader)) {
+		/* All interim answers together have the limit of one head. */
+		gsize bytes = reader->head_bytes;
+
 		clear_message(reader);
-		return 0;
+		return add_head_bytes(reader, bytes + INTERIM_BYTES);
 	}
 	reader->complete = true;
 	http_parser_pause(parser, 1);
--- a/test/unit/net.c
+++ b/test/unit/net.c
@@ -151,6 +151,19 @@
 	}
 }
 
+void net_server_send(struct net_server *server, const char *bytes, gsize length)
+{
+	for (guint i = 0; i < server->accepted->len; i++) {
+		struct server_connection *connection =
+			server->accepted->pdata[i];
+
+		/* A closed or full connection takes nothing. */
+		if (connection->watch.fd >= 0)
+			(void)send(connection->watch.fd, bytes, length,
+				   MSG_DONTWAIT | MSG_NOSIGNAL);
+	}
+}
+
 static void on_ready(struct http1_watch *watch, guint32 events)
 {
 	struct server_connection *connection = (void *)watch;
--- a/test/unit/net.h
+++ b/test/unit/net.h
@@ -76,6 +76,10 @@
 /* Replies to all requests that a server with hold set has received. */
 void net_server_reply_held(struct net_server *server);
 
+/* Sends bytes on all open connections, as far as the sockets take them. */
+void net_server_send(struct net_server *server, const char *bytes,
+		     gsize length);
+
 /* Closes all connections and the listener and frees the server. */
 void net_server_destroy(struct net_server *server);
 
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -185,6 +185,98 @@
 
 /* ---- one replica ---- */
 
+#define NOT_RUN(status)                                                        \
+	"HTTP/1.1 " status " No\r\nId: r1\r\nNot-Run: 1\r\n"                   \
+	"Content-Length: 0\r\n\r\n"
+#define UNSIGNED "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 2\r\n\r\nok"
+#define NO_ID	 "HTTP/1.1 200 OK\r\nSigned: s0\r\nContent-Length: 2\r\n\r\nok"
+#define TRUNCATED                                                              \
+	"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: s0\r\nContent-Length: "          \
+	"9\r\n\r\nok"
+#define OTHER_REQUEST                                                          \
+	"HTTP/1.1 200 OK\r\nId: r0\r\nSigned: s9\r\n"                          \
+	"Content-Length: 3\r\n\r\nbad"
+#define GOOD                                                                   \
+	"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: s0\r\n"                          \
+	"Content-Length: 4\r\n\r\ngood"
+#define STATUS_500                                                             \
+	"HTTP/1.1 500 Oh\r\nId: r1\r\nSigned: s0\r\n"                          \
+	"Content-Length: 2\r\n\r\nno"
+#define STATUS_503_UNPROVEN                                                    \
+	"HTTP/1.1 503 Full\r\nId: r1\r\nSigned: s0\r\n"                        \
+	"Content-Length: 0\r\n\r\n"
+
+#define OK_HEAD "HTTP/1.1 200 OK\r\nId: r1\r\nSigned: s0\r\n"
+
+/* Bytes of which a replica may send any number before it is cut off. */
+#define ENDLESS_BYTES_MAX (64 * 1024 * 1024)
+
+/* Return: at least 32 KB of repetitions of @unit. */
+static GString *repeat(const char *unit)
+{
+	GString *bytes = g_string_new(NULL);
+
+	while (bytes->len < 32768)
+		g_string_append(bytes, unit);
+	return bytes;
+}
+
+START_TEST(an_answer_without_end_is_cut_off_and_retried)
+{
+	static const struct {
+		const char *start;
+		const char *unit; /* repeated without end */
+	} cases[] = {
+		{"zzzz", "zzzz"},
+		{"\r\n", "\r\n"},
+		{"HTTP/1.1 200 ", "a"},
+		{OK_HEAD "X: ", "a"},
+		{OK_HEAD "X", "a"},
+		{OK_HEAD, "X: a\r\n"},
+		{OK_HEAD "Content-Length: 9999999999\r\n\r\n", "a"},
+		{OK_HEAD "Content-Length: 9", "9"},
+		{OK_HEAD "\r\n", "a"},
+		{OK_HEAD "Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"},
+		{OK_HEAD "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		{OK_HEAD "Transfer-Encoding: chunked\r\n\r\n1;", "a"},
+		{OK_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: a\r\n"},
+		{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"", "HTTP/1.1 103 Hints\r\nLink: a\r\n\r\n"},
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		GString *bytes = repeat(cases[i].unit);
+		struct fixture fixture;
+		struct net_client *client;
+		gsize sent = 0;
+
+		fixture_create(&fixture);
+		fixture_publish(&fixture);
+		start_replica(&fixture, 0, g_strdup(cases[i].start), false);
+		fixture.servers[0]->reply =
+			*cases[i].start ? fixture.replies[0] : NULL;
+		start_replica(&fixture, 1, signed_answer(1, 200, "second"),
+			      false);
+		client = send_request(&fixture, "GET /one/");
+		while (fixture.servers[0]->n_open && sent < ENDLESS_BYTES_MAX) {
+			net_server_send(fixture.servers[0], bytes->str,
+					bytes->len);
+			sent += bytes->len;
+			net_run_until_idle(&fixture.net);
+		}
+		net_read(client);
+		ck_assert_msg(!fixture.servers[0]->n_open, "case %zu: %zu sent",
+			      i, sent);
+		ck_assert_msg(status_of(client) == 200, "case %zu: %u", i,
+			      status_of(client));
+		ck_assert_ptr_nonnull(strstr(client->received->str, "second"));
+		net_close(client);
+		fixture_destroy(&fixture);
+		g_string_free(bytes, TRUE);
+	}
+}
+END_TEST
+
 START_TEST(a_request_and_its_answer_are_forwarded_unchanged)
 {
 	struct fixture fixture;
@@ -211,27 +303,6 @@
 }
 END_TEST
 
-#define NOT_RUN(status)                                                        \
-	"HTTP/1.1 " status " No\r\nId: r1\r\nNot-Run: 1\r\n"                   \
-	"Content-Length: 0\r\n\r\n"
-#define UNSIGNED "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 2\r\n\r\nok"
-#define NO_ID	 "HTTP/1.1 200 OK\r\nSigned: s0\r\nContent-Length: 2\r\n\r\nok"
-#define TRUNCATED                                                              \
-	"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: s0\r\nContent-Length: "          \
-	"9\r\n\r\nok"
-#define OTHER_REQUEST                                                          \
-	"HTTP/1.1 200 OK\r\nId: r0\r\nSigned: s9\r\n"                          \
-	"Content-Length: 3\r\n\r\nbad"
-#define GOOD                                                                   \
-	"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: s0\r\n"                          \
-	"Content-Length: 4\r\n\r\ngood"
-#define STATUS_500                                                             \
-	"HTTP/1.1 500 Oh\r\nId: r1\r\nSigned: s0\r\n"                          \
-	"Content-Length: 2\r\n\r\nno"
-#define STATUS_503_UNPROVEN                                                    \
-	"HTTP/1.1 503 Full\r\nId: r1\r\nSigned: s0\r\n"                        \
-	"Content-Length: 0\r\n\r\n"
-
 /* Return: an answer to request "r1" with the given status and header lines. */
 static char *answer_with(const char *status, const char *lines)
 {
@@ -864,6 +935,7 @@
 END_TEST
 
 UNIT_MAIN("forward", a_request_and_its_answer_are_forwarded_unchanged,
+	  an_answer_without_end_is_cut_off_and_retried,
 	  only_a_valid_rate_limit_of_the_replica_counts,
 	  a_request_that_no_rate_limit_allows_is_refused_at_once,
 	  a_rate_limit_on_an_answer_to_another_request_is_ignored,
