http: Close a connection that only has answers to other requests

A replica that went on sending complete answers to other requests held its part until the deadline, 64 MB in the test without a cut; each was skipped, as a late answer is, and none was counted. Same class as interim answers without end.

After eight skipped answers to one request the connection is closed and the part sent to another replica. A replica of the platform sends one extra answer late.

--- a/src/libhttp/client.c
+++ b/src/libhttp/client.c
@@ -7,6 +7,11 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
+/* Most answers that the owner may skip before the awaited one: a few late
+ * answers can be underway, more show that the other end does not answer
+ * requests. */
+#define SKIPPED_MAX 8
+
 struct http1_client {
 	struct http1_watch watch;
 	struct http1_loop *loop;
@@ -19,6 +24,7 @@
 	 * the request had been written completely when it arrived. */
 	bool reusable;
 	bool no_body; /* the answer has no body, as for HEAD */
+	guint n_skipped; /* answers skipped since the last request */
 	bool trailing_bytes; /* unparsed bytes follow the current answer */
 	bool closed;
 };
@@ -73,9 +79,9 @@
 	client->awaiting_answer = false;
 	if (!client->hooks.answer(client, answer, client->hooks.user)) {
 		client->awaiting_answer = true;
-		if (!client->reusable) {
-			/* The connection ends with the skipped answer, so that
-			 * the awaited one cannot arrive. */
+		if (!client->reusable || ++client->n_skipped > SKIPPED_MAX) {
+			/* If the connection ends with the skipped answer, the
+			 * awaited one cannot arrive. */
 			http1_reader_reset(client->reader, client->no_body);
 			close_interrupted(client);
 			return false;
@@ -232,6 +238,7 @@
 		       const void *body, gsize length, bool no_body)
 {
 	client->awaiting_answer = true;
+	client->n_skipped = 0;
 	client->no_body = no_body;
 	http1_reader_reset(client->reader, no_body);
 	g_byte_array_append(client->output, (const guint8 *)head->str,
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -241,6 +241,7 @@
 		{OK_HEAD "Transfer-Encoding: chunked\r\n\r\n1;", "a"},
 		{OK_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: a\r\n"},
 		{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"", OTHER_REQUEST},
 		{"", "HTTP/1.1 103 Hints\r\nLink: a\r\n\r\n"},
 	};
 
