route: Send repeats to a replica with a rate limit only as a last choice

Hedges and retries took tokens of a limited replica that first attempts of other requests then lacked, while an unlimited replica had room: the choice looked at the expected time alone. A replica with a limit is now chosen for a repeat only if no sound one without a limit can take it; a suspect one comes after it.

The test failed before.

--- a/src/libroute/choose.c
+++ b/src/libroute/choose.c
@@ -38,17 +38,21 @@
 /* A replica of a higher tier is chosen only if there is none of a lower one. */
 enum tier {
 	TIER_HEALTHY,
+	TIER_LIMITED, /* has a rate limit, and the attempt is a repeat */
 	TIER_SUSPECT, /* stalled, or recently not reachable */
 	TIER_LAPSED, /* no longer listed, possibly stopped */
 	TIER_NONE,
 };
 
-static enum tier tier_of(const struct route_replica *replica, gint64 now_us)
+static enum tier tier_of(const struct route_criteria *criteria,
+			 const struct route_replica *replica, gint64 now_us)
 {
 	if (replica->lapsed_us)
 		return TIER_LAPSED;
 	if (now_us < replica->suspect_until_us || is_stalled(replica, now_us))
 		return TIER_SUSPECT;
+	if (replica->limit.per_s > 0 && criteria->n_tried)
+		return TIER_LIMITED;
 	return TIER_HEALTHY;
 }
 
@@ -165,7 +169,7 @@
 		    !has_cold_capacity(pool, replica, now_us) ||
 		    !route_limit_allows(replica, now_us))
 			continue;
-		tier = tier_of(replica, now_us);
+		tier = tier_of(criteria, replica, now_us);
 		cost = cost_us(criteria, replica, now_us);
 		if (best && (tier > best_tier ||
 			     (tier == best_tier && cost >= best_cost)))
--- a/test/unit/test_division.c
+++ b/test/unit/test_division.c
@@ -105,6 +105,33 @@
 }
 END_TEST
 
+/* A limit leaves no room for repeats as long as another replica takes them. */
+START_TEST(a_repeat_goes_to_a_replica_without_a_rate_limit)
+{
+	struct view view = view_create();
+	struct route_place place = {true, 0, 1, 0};
+	struct route_replica *first;
+	struct route_replica *limited;
+
+	view_put(&view, "first", "a");
+	first = view_choose(&view, NULL);
+	view_put(&view, "limited", "a");
+	view_put(&view, "far", "b");
+	limited = view_choose(&view, first);
+	ck_assert_str_eq(limited->id, "limited");
+	route_fleet_set_place(view.fleet, "east", &place, view.now);
+	route_replica_observe_limit(limited, 100, view.now, view.now);
+	view.now += 500 * MS;
+	ck_assert_str_eq(view_choose(&view, first)->id, "far");
+	/* First attempts use it, and repeats that no other replica takes. */
+	route_fleet_remove(view.fleet, "far", false, view.now);
+	ck_assert_str_eq(view_choose(&view, first)->id, "limited");
+	route_fleet_remove(view.fleet, "first", false, view.now);
+	ck_assert_str_eq(view_chosen_id(&view), "limited");
+	view_destroy(&view);
+}
+END_TEST
+
 /* ---- members ---- */
 
 #define S ((gint64)CS_US_PER_S)
@@ -480,6 +507,7 @@
 UNIT_MAIN("division", fractions_of_all_places_add_up_to_the_limit,
 	  daemons_near_the_replica_get_most_of_its_limit,
 	  another_incarnation_has_no_rate_limit,
+	  a_repeat_goes_to_a_replica_without_a_rate_limit,
 	  a_limit_ends_only_with_an_answer_to_a_later_request,
 	  a_new_daemon_gets_no_place_before_the_others_were_told,
 	  a_silent_daemon_keeps_its_place_unless_most_are_up,
