--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -40,6 +40,58 @@
 	return table;
 }
 
+/* A route that the platform's decoder takes is passed to other daemons, which
+ * must take it too. */
+START_TEST(both_decoders_take_the_same_routes)
+{
+	static const struct {
+		const char *target;
+		bool valid;
+	} cases[] = {
+		{"\"service\":\"x\"", true},
+		{"\"fanout\":[\"x\"]", true},
+		{"\"fanout\":[]", false},
+		{"\"fanout\":[],\"service\":\"x\"", false},
+		{"\"trafficSplit\":[{\"service\":\"x\",\"weight\":0},"
+		 "{\"service\":\"y\",\"weight\":1}]",
+		 true},
+		{"\"trafficSplit\":[{\"service\":\"x\",\"weight\":-1}]", false},
+		{"\"service\":\"x\",\"minSuccessShare\":0", true},
+		{"\"fanout\":[\"x\"],\"minSuccessShare\":0", true},
+		{"\"fanout\":[\"x\"],\"topK\":0", true},
+		{"\"fanout\":[\"x\"],\"topK\":1000000", true},
+		{"\"service\":\"x\",\"maxAttempts\":1000000", true},
+		{"\"service\":\"x\",\"priority\":-1000000", true},
+		{"\"service\":\"x\",\"targetLatencyMs\":1000000000000", true},
+		{"\"service\":\"x\",\"allowedRegions\":[\"\"]", true},
+		{"\"service\":\"x\",\"allowedRegions\":[]", true},
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strdup_printf(
+			"{\"version\":7,\"routes\":[{\"name\":\"r\","
+			"\"host\":\"h\",\"prefix\":\"/\","
+			"\"routeType\":\"idempotent\",\"timeoutMs\":1500,"
+			"%s}],\"services\":[]}",
+			cases[i].target);
+		int error = 0;
+		struct route_table *table = decode(text, &error);
+		struct route_table *again = NULL;
+
+		ck_assert_msg(!table == !cases[i].valid, "case %zu", i);
+		ck_assert_msg(!error == cases[i].valid, "case %zu", i);
+		if (table) {
+			g_autoptr(GBytes) bytes = route_table_encode(table);
+
+			again = route_table_decode(bytes);
+			ck_assert_msg(again != NULL, "case %zu", i);
+		}
+		route_table_unref(table);
+		route_table_unref(again);
+	}
+}
+END_TEST
+
 START_TEST(a_configuration_is_decoded_into_routes)
 {
 	int error = 0;
@@ -600,7 +652,8 @@
 }
 END_TEST
 
-UNIT_MAIN("platform", a_configuration_is_decoded_into_routes,
+UNIT_MAIN("platform", both_decoders_take_the_same_routes,
+	  a_configuration_is_decoded_into_routes,
 	  an_invalid_configuration_is_rejected_with_a_cause,
 	  an_invalid_registration_is_rejected, keys_are_classified,
 	  malformed_configurations_do_not_crash_the_decoder,
