platform: Refuse a split without a weight above 0, and say why

A seed took a configuration with a split whose weights add up to 0, sent every request of it to the first service, and passed the table to its followers, which refused it and kept the older version: the daemons then answered differently. An empty split was refused without a cause in the log. The test's rows failed before (an empty split has no cause; weights of 0 were taken).

--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -52,6 +52,8 @@
 		{"\"fanout\":[\"x\"]", true},
 		{"\"fanout\":[]", false},
 		{"\"fanout\":[],\"service\":\"x\"", false},
+		{"\"trafficSplit\":[]", false},
+		{"\"trafficSplit\":[{\"service\":\"x\",\"weight\":0}]", false},
 		{"\"trafficSplit\":[{\"service\":\"x\",\"weight\":0},"
 		 "{\"service\":\"y\",\"weight\":1}]",
 		 true},
