route: Bound the slowness that a daemon reports of a replica that hangs

A daemon that waits for an answer of a hung replica reported the time so far over the usual one without a bound. A seed reads numbers up to 65,535 tenths: from 6,554 times the work on it took the entry for malformed and dropped the rest of the report, so the other slow replicas in it were not known of elsewhere. The bound of good answers, 20, now holds for these too. The test failed before (slowness 180000).

--- a/src/libroute/estimate.c
+++ b/src/libroute/estimate.c
@@ -37,9 +37,6 @@
  * avoided after a single pause, while a slow one is after some answers. */
 #define SAMPLE_FACTOR_MAX 3.0
 
-/* Limit on the slowness of one answer in reports to other daemons. */
-#define REPORTED_SLOWNESS_MAX 20.0
-
 /* Lower limit of a sample, for a replica that answers at once. */
 #define SLOWNESS_MIN 0.2
 
@@ -225,7 +222,7 @@
 	double ratio = work_us / work->mean_us;
 
 	replica->unreported.answers++;
-	replica->unreported.slowness += MIN(ratio, REPORTED_SLOWNESS_MAX);
+	replica->unreported.slowness += MIN(ratio, ROUTE_REPORTED_SLOWNESS_MAX);
 	ratio = CLAMP(ratio, SLOWNESS_MIN, SAMPLE_FACTOR_MAX * slowness);
 	update_average(&work->mean_deviation, fabs(ratio / slowness - 1),
 		       WORK_WEIGHT);
--- a/src/libroute/fleet.h
+++ b/src/libroute/fleet.h
@@ -10,6 +10,9 @@
  */
 #define ROUTE_BUDGET_INTERVALS 21
 
+/* Limit on the slowness of one answer in reports to other daemons. */
+#define ROUTE_REPORTED_SLOWNESS_MAX 20.0
+
 struct route_pool {
 	struct route_fleet *fleet;
 	char *name;
--- a/src/libroute/outlier.c
+++ b/src/libroute/outlier.c
@@ -56,7 +56,8 @@
 		return;
 	replica->unreported.answers++;
 	replica->unreported.slowness +=
-		(double)(now_us - oldest->sent_us) / oldest->work->mean_us;
+		MIN((double)(now_us - oldest->sent_us) / oldest->work->mean_us,
+		    ROUTE_REPORTED_SLOWNESS_MAX);
 }
 
 struct report_context {
--- a/test/unit/test_outlier.c
+++ b/test/unit/test_outlier.c
@@ -340,7 +340,33 @@
 }
 END_TEST
 
-UNIT_MAIN("outlier", slow_replica_is_avoided_by_all_daemons_within_seconds,
+static void read_slowness(const char *id, const struct route_stats *stats,
+			  void *user)
+{
+	*(double *)user = stats->slowness / stats->answers;
+}
+
+/* A report holds numbers below 6,554 only, and a seed drops a larger one. */
+START_TEST(report_of_a_replica_that_hangs_stays_in_range)
+{
+	struct view view = view_create();
+	struct route_attempt attempt = {0};
+	double slowness = 0;
+
+	add_replicas(&view);
+	route_attempt_begin(&attempt, view_choose(&view, NULL), view.work,
+			    view.now);
+	view.now += 3600 * (gint64)CS_US_PER_S;
+	route_fleet_report(view.fleet, 60, view.now, read_slowness, &slowness);
+	ck_assert_double_gt(slowness, 2.5);
+	ck_assert_double_le(slowness, 20);
+	route_attempt_end(&attempt, ROUTE_ABORTED, view.now);
+	view_destroy(&view);
+}
+END_TEST
+
+UNIT_MAIN("outlier", report_of_a_replica_that_hangs_stays_in_range,
+	  slow_replica_is_avoided_by_all_daemons_within_seconds,
 	  short_pause_is_not_an_outlier, own_samples_override_pooled_estimates,
 	  old_failures_decay_before_a_new_report_counts,
 	  report_is_bounded_and_lists_failing_replicas_first)
