--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -429,8 +429,8 @@
 	platform_store_set_direct_reading(fixture.store, true);
 	net_run_until_idle(&fixture.net);
 	ck_assert_str_eq(fixture.changes->str, "+a +b -a ");
-	ck_assert_ptr_nonnull(strstr(fixture.calls->str,
-				     "kv-range?prefix=&after=a&staleOk=1\n"));
+	ck_assert_ptr_nonnull(
+		strstr(fixture.calls->str, "kv-range?prefix=&after=a\n"));
 	ck_assert_ptr_nonnull(strstr(fixture.calls->str,
 				     "kv-watch?prefix=&after="
 				     "10&"));
@@ -479,7 +479,25 @@
 	net_run_until_idle(&fixture.net);
 	ck_assert_str_eq(fixture.changes->str, "+a +b +c -a ");
 	/* A stale range could lack changes of the dropped history. */
-	ck_assert_ptr_nonnull(strstr(fixture.calls->str, "kv-range?prefix=\n"));
+	ck_assert_ptr_null(strstr(fixture.calls->str, "staleOk"));
+	fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against a replica that left, or a route that was removed, being used
+ * again after a restart: a stale range can be older than what was in use. */
+START_TEST(a_restarted_daemon_reads_no_stale_range)
+{
+	struct store_fixture fixture;
+
+	fixture_open(&fixture);
+	queue_reply(&fixture, RANGE(ITEM("a", 3), 10, "true"));
+	queue_reply(&fixture, RANGE(ITEM("b", 12), 13, "false"));
+	platform_store_set_direct_reading(fixture.store, true);
+	net_run_until_idle(&fixture.net);
+	ck_assert_ptr_nonnull(strstr(fixture.calls->str, "kv-range?"));
+	ck_assert_ptr_null(strstr(fixture.calls->str, "staleOk"));
+	ck_assert_uint_eq(fixture.answers, 1);
 	fixture_close(&fixture);
 }
 END_TEST
@@ -654,7 +672,8 @@
 }
 END_TEST
 
-UNIT_MAIN("platform", both_decoders_take_the_same_routes,
+UNIT_MAIN("platform", a_restarted_daemon_reads_no_stale_range,
+	  both_decoders_take_the_same_routes,
 	  a_configuration_is_decoded_into_routes,
 	  an_invalid_configuration_is_rejected_with_a_cause,
 	  an_invalid_registration_is_rejected, keys_are_classified,
