http: Serve the connections that wait to be accepted when a server stops

During a planned stop under load, callers whose connections were established and whose requests were sent got a reset: closing the listening socket resets what is still queued there. The queue is now accepted before the listener closes; their requests are read and answered like others in the drain.

Ruled out as further causes: a connection is read as soon as it is accepted, and one with a begun request is kept until its answer.

--- a/include/cuminsail/http1.h
+++ b/include/cuminsail/http1.h
@@ -324,8 +324,9 @@
  * http1_server_stop_accepting - stop accepting connections and requests
  * @server: a server; may be called again
  *
- * Stops listening and closes the connections on which no request has begun.
- * The others are closed after their answer.
+ * Accepts the connections that are waiting, stops listening and closes the
+ * connections on which no request has begun. The others are closed after their
+ * answer.
  */
 void http1_server_stop_accepting(struct http1_server *server);
 
--- a/src/libhttp/server.c
+++ b/src/libhttp/server.c
@@ -375,6 +375,30 @@
 	update_events(exchange);
 }
 
+/* Accepts one connection. Returns false if none is waiting. */
+static bool accept_connection(struct http1_server *server)
+{
+	int fd = accept4(server->listener.fd, NULL, NULL,
+			 SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	if (fd < 0) {
+		if (errno != EAGAIN)
+			cs_log(LOG_WARNING, "accept-failed", "why",
+			       g_strerror(errno), NULL);
+		return false;
+	}
+	if (server->connections >= server->limits->connections_max) {
+		/* Not in the epoll set: removal only closes it. */
+		struct http1_watch rejected = {.fd = fd};
+
+		cs_log(LOG_WARNING, "connection-refused", "why", "limit", NULL);
+		http1_loop_remove(server->loop, &rejected);
+	} else {
+		open_exchange(server, fd);
+	}
+	return true;
+}
+
 static void on_accept(struct http1_watch *watch, guint32 events)
 {
 	struct http1_server *server =
@@ -383,25 +407,8 @@
 						 listener));
 
 	for (int i = 0; i < ACCEPTS_PER_ITERATION; i++) {
-		int fd = accept4(watch->fd, NULL, NULL,
-				 SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-		if (fd < 0) {
-			if (errno != EAGAIN)
-				cs_log(LOG_WARNING, "accept-failed", "why",
-				       g_strerror(errno), NULL);
+		if (!accept_connection(server))
 			return;
-		}
-		if (server->connections >= server->limits->connections_max) {
-			/* Not in the epoll set: removal only closes it. */
-			struct http1_watch rejected = {.fd = fd};
-
-			cs_log(LOG_WARNING, "connection-refused", "why",
-			       "limit", NULL);
-			http1_loop_remove(server->loop, &rejected);
-			continue;
-		}
-		open_exchange(server, fd);
 	}
 }
 
@@ -456,6 +463,11 @@
 	struct http1_exchange *next;
 
 	server->draining = true;
+	/* Closing the listener resets the connections that are still queued. */
+	if (server->listener.fd >= 0) {
+		while (accept_connection(server))
+			;
+	}
 	http1_loop_remove(server->loop, &server->listener);
 	for (exchange = TAILQ_FIRST(&server->exchanges); exchange;
 	     exchange = next) {
--- a/test/unit/net.c
+++ b/test/unit/net.c
@@ -66,7 +66,7 @@
 	return address;
 }
 
-struct net_client *net_connect(struct net *net, const struct sockaddr_in *to)
+struct net_client *net_connect_only(const struct sockaddr_in *to)
 {
 	struct net_client *client = g_new0(struct net_client, 1);
 
@@ -75,6 +75,13 @@
 	ck_assert_int_eq(
 		connect(client->fd, (const struct sockaddr *)to, sizeof(*to)),
 		0);
+	return client;
+}
+
+struct net_client *net_connect(struct net *net, const struct sockaddr_in *to)
+{
+	struct net_client *client = net_connect_only(to);
+
 	net_run_until_idle(net);
 	return client;
 }
--- a/test/unit/net.h
+++ b/test/unit/net.h
@@ -40,7 +40,12 @@
 	bool closed; /* net_read() found it closed by the other end */
 };
 
-/* Connects to an address. The test fails if it cannot. */
+/* Connects to an address, without running the loop. The test fails if it
+ * cannot.
+ */
+struct net_client *net_connect_only(const struct sockaddr_in *to);
+
+/* The same, and runs the loop until the connection is accepted. */
 struct net_client *net_connect(struct net *net, const struct sockaddr_in *to);
 
 /* Sends text. The test fails if the socket does not take all of it. */
--- a/test/unit/test_http1.c
+++ b/test/unit/test_http1.c
@@ -417,6 +417,34 @@
 }
 END_TEST
 
+/* Guards against requests that are cut off at a planned stop although their
+ * connections are established: the kernel has not passed them on yet. */
+START_TEST(stopping_server_answers_the_connections_in_its_queue)
+{
+	enum { CONNECTIONS = 50 };
+	struct net_client *clients[CONNECTIONS];
+	struct test_server test;
+
+	start_server(&test);
+	test.limits.connections_max = CONNECTIONS;
+	for (int i = 0; i < CONNECTIONS; i++) {
+		clients[i] = net_connect_only(&test.address);
+		net_send(clients[i], "GET /1 HTTP/1.1\r\n\r\n");
+	}
+	http1_server_stop_accepting(test.server);
+	net_run_until_idle(&test.net);
+	for (int i = 0; i < CONNECTIONS; i++) {
+		net_read(clients[i]);
+		ck_assert_msg(strstr(clients[i]->received->str, "/1") != NULL,
+			      "connection %d", i);
+		net_close(clients[i]);
+	}
+	net_run_until_idle(&test.net);
+	ck_assert_uint_eq(http1_server_connection_count(test.server), 0);
+	stop_server(&test);
+}
+END_TEST
+
 /* ---- client ---- */
 
 /* A client connection and what its callbacks reported. */
@@ -544,5 +572,6 @@
 	  server_closes_slow_and_idle_connections,
 	  server_reports_a_disconnected_caller,
 	  stopping_server_finishes_only_the_open_request,
+	  stopping_server_answers_the_connections_in_its_queue,
 	  client_reports_answers_and_failures,
 	  connecting_without_a_listener_fails)
