forward: Take no answer without the request's id

A late second copy of a refusal without a Request-Id, on a connection in use again, was taken for the answer to the next request: proof that an order had not run, which was then sent to a second replica while the first ran it. Any other failure without an id reached the next caller as its own answer. Cause: only successes had to carry the id; a missing one was not compared. An answer without the id now counts as lost, proves nothing and is not returned, and its connection is not used again.

The test failed before (200 from the second replica in place of 502).

--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -199,9 +199,11 @@
 		answer = forward_copy_answer(engine->dialect, message,
 					     part->job->n_parts == 1);
 	end_attempt(attempt, classification.result);
+	/* Without an id, the answer to this request may still arrive. */
 	release_connection(connection,
-			   idle_until(connection->link->replica,
-				      forward_now(engine), message));
+			   id ? idle_until(connection->link->replica,
+					   forward_now(engine), message)
+			      : 0);
 	if (!part)
 		return true;
 	if (classification.not_run)
--- a/src/libforward/message.c
+++ b/src/libforward/message.c
@@ -53,6 +53,10 @@
 {
 	bool success = message->status >= 200 && message->status < 300;
 
+	/* It may be a late copy of the answer to an earlier request. */
+	if (!http1_message_header(message, dialect->request_id))
+		return (struct forward_classification){ROUTE_FAILED,
+						       CS_E_BAD_ANSWER, false};
 	if (message->status == dialect->wrong_instance)
 		return (struct forward_classification){ROUTE_WRONG_INSTANCE,
 						       CS_E_REFUSED, true};
@@ -62,9 +66,6 @@
 	if (success && !http1_message_header(message, dialect->signature))
 		return (struct forward_classification){ROUTE_FAILED,
 						       CS_E_BAD_ANSWER, false};
-	if (success && !http1_message_header(message, dialect->request_id))
-		return (struct forward_classification){ROUTE_FAILED,
-						       CS_E_BAD_ANSWER, false};
 	if (message->status >= 500)
 		return (struct forward_classification){ROUTE_FAILED, CS_E_LOST,
 						       false};
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -221,6 +221,42 @@
 	return bytes;
 }
 
+/* Guards against an order that runs twice: a late second copy of a refusal is
+ * taken for the answer to the next request on the connection. */
+START_TEST(a_refusal_without_the_request_id_proves_nothing)
+{
+	static const char *const refusals[] = {
+		"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 Other\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(refusals); i++) {
+		struct fixture fixture;
+		struct net_client *client;
+
+		fixture_create(&fixture);
+		fixture_publish(&fixture);
+		start_replica(&fixture, 0, g_strdup(GOOD), false);
+		start_replica(&fixture, 1, signed_answer(1, 200, "second"),
+			      false);
+		net_close(send_request(&fixture, "GET /once/"));
+		fixture.servers[0]->reply = NULL;
+		client = send_request(&fixture, "GET /once/");
+		ck_assert_uint_eq(fixture.servers[0]->requests, 2);
+		ck_assert_uint_eq(fixture.servers[0]->connections, 1);
+		net_server_send(fixture.servers[0], refusals[i],
+				strlen(refusals[i]));
+		net_run_until_idle(&fixture.net);
+		net_read(client);
+		ck_assert_msg(status_of(client) == 502, "case %zu: %u", i,
+			      status_of(client));
+		ck_assert_uint_eq(fixture.servers[1]->requests, 0);
+		net_close(client);
+		fixture_destroy(&fixture);
+	}
+}
+END_TEST
+
 START_TEST(an_answer_without_end_is_cut_off_and_retried)
 {
 	static const struct {
@@ -936,6 +972,7 @@
 END_TEST
 
 UNIT_MAIN("forward", a_request_and_its_answer_are_forwarded_unchanged,
+	  a_refusal_without_the_request_id_proves_nothing,
 	  an_answer_without_end_is_cut_off_and_retried,
 	  only_a_valid_rate_limit_of_the_replica_counts,
 	  a_request_that_no_rate_limit_allows_is_refused_at_once,
