test: Show that a silent replica's running request is not sent again

Searched for, after what operators of similar systems told: a replica whose entry vanishes, held or not, while it runs a request keeps it; its answer reaches the caller, and no second replica gets the request. It passes on this code and needed no change; a request that may repeat is hedged only by its own time.

--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -257,6 +257,38 @@
 }
 END_TEST
 
+/* A replica that stops reporting may still run what it was sent. */
+START_TEST(a_running_request_of_a_silent_replica_is_not_sent_again)
+{
+	for (int idempotent = 0; idempotent < 2; idempotent++) {
+		struct fixture fixture;
+		struct net_client *client;
+
+		fixture_create(&fixture);
+		fixture_publish(&fixture);
+		start_replica(&fixture, 0, signed_answer(0, 200, "first"),
+			      false);
+		start_replica(&fixture, 1, signed_answer(1, 200, "second"),
+			      false);
+		fixture.servers[0]->hold = true;
+		client = send_request(&fixture,
+				      idempotent ? "GET /one/" : "GET /once/");
+		ck_assert_uint_eq(fixture.servers[0]->requests, 0);
+		route_fleet_remove(forward_engine_fleet(fixture.engine), "u0",
+				   idempotent, cs_clock_now(fixture.net.clock));
+		forward_engine_view_changed(fixture.engine);
+		net_advance(&fixture.net, 20);
+		net_server_reply_held(fixture.servers[0]);
+		net_run_until_idle(&fixture.net);
+		net_read(client);
+		ck_assert_ptr_nonnull(strstr(client->received->str, "first"));
+		ck_assert_uint_eq(fixture.servers[1]->requests, 0);
+		net_close(client);
+		fixture_destroy(&fixture);
+	}
+}
+END_TEST
+
 START_TEST(an_answer_without_end_is_cut_off_and_retried)
 {
 	static const struct {
@@ -973,6 +1005,7 @@
 
 UNIT_MAIN("forward", a_request_and_its_answer_are_forwarded_unchanged,
 	  a_refusal_without_the_request_id_proves_nothing,
+	  a_running_request_of_a_silent_replica_is_not_sent_again,
 	  an_answer_without_end_is_cut_off_and_retried,
 	  only_a_valid_rate_limit_of_the_replica_counts,
 	  a_request_that_no_rate_limit_allows_is_refused_at_once,
