http: Bound the memory of all answers that are being received

Answers without end were cut at 8 MB each, but their sum had no bound: replicas in trouble that each get several requests could take a daemon of 160 MB over its memory, and the process is killed with all its requests. Bodies above 64 KB now need room in 64 MB for all answers of the daemon; one that finds none is treated as too large, and its part goes to another replica. Smaller ones are always accepted.

The test, 20 answers of 6 MB and more, failed before: all 20 were still being received (120 MB); now at most 10. A small answer is served beside them.

--- a/include/cuminsail/http1.h
+++ b/include/cuminsail/http1.h
@@ -161,12 +161,24 @@
 						    void *user),
 				      void *user);
 
+/** Memory for the bodies of all messages with the same limits. */
+struct http1_memory {
+	gsize used;
+	gsize max;
+};
+
 /** Size limits of one message. */
 struct http1_limits {
 	gsize header_bytes; /* request target and header fields */
 	gsize body_bytes;
+	/* Bodies above HTTP1_BODY_ALWAYS bytes need room in it; NULL: no bound
+	 */
+	struct http1_memory *memory;
 };
 
+/** Size up to which a body is accepted although the memory is used up. */
+#define HTTP1_BODY_ALWAYS 65536
+
 /** State of a message after bytes were passed to its reader. */
 enum http1_reader_state {
 	HTTP1_INCOMPLETE, /* more bytes are needed */
@@ -189,6 +201,14 @@
 struct http1_reader *http1_reader_create(bool requests,
 					 const struct http1_limits *limits);
 
+/**
+ * http1_reader_release_memory - stop counting a reader's body
+ * @reader: a reader that gets no more bytes; its message stays valid
+ *
+ * The memory of its limits is not used any more.
+ */
+void http1_reader_release_memory(struct http1_reader *reader);
+
 /**
  * http1_reader_destroy - free a reader
  * @reader: a reader or NULL
--- a/src/libforward/engine.c
+++ b/src/libforward/engine.c
@@ -25,6 +25,9 @@
 #define ANSWER_BYTES_MAX (8 * 1024 * 1024)
 #define ANSWER_HEAD_MAX	 65536
 
+/* Memory for answers that are being received, in a daemon of 160 MB or more. */
+#define ANSWERS_BYTES_MAX (64 * 1024 * 1024)
+
 /* Limits for callers until the first route table sets them. */
 #define HEAD_BYTES_DEFAULT	  16384
 #define BODY_BYTES_DEFAULT	  262144
@@ -312,6 +315,8 @@
 	engine->page_limits.message.header_bytes = PAGE_HEAD_MAX;
 	engine->answer_limits.header_bytes = ANSWER_HEAD_MAX;
 	engine->answer_limits.body_bytes = ANSWER_BYTES_MAX;
+	engine->answer_limits.memory = &engine->answer_memory;
+	engine->answer_memory.max = ANSWERS_BYTES_MAX;
 }
 
 struct forward_engine *forward_engine_create(
--- a/src/libhttp/client.c
+++ b/src/libhttp/client.c
@@ -43,6 +43,7 @@
 	if (client->closed)
 		return;
 	client->closed = true;
+	http1_reader_release_memory(client->reader);
 	http1_loop_remove(client->loop, &client->watch);
 	http1_loop_defer(client->loop, free_client, client);
 }
--- a/src/libhttp/message.c
+++ b/src/libhttp/message.c
@@ -10,6 +10,7 @@
 struct http1_reader {
 	http_parser parser;
 	const struct http1_limits *limits;
+	struct http1_memory *memory; /* of the limits, until it is released */
 	struct http1_message message;
 	gsize head_bytes; /* size of the header section, including the target */
 	bool requests; /* parses requests, otherwise answers */
@@ -147,15 +148,29 @@
 	return reader->no_body ? 1 : 0;
 }
 
+/* Returns whether a body may grow to the given size. */
+static bool may_grow(const struct http1_reader *reader, gsize size)
+{
+	const struct http1_memory *memory = reader->memory;
+	gsize added = size - reader->message.body->len;
+
+	if (size > reader->limits->body_bytes)
+		return false;
+	return !memory || size <= HTTP1_BODY_ALWAYS ||
+	       memory->used + added <= memory->max;
+}
+
 static int on_body(http_parser *parser, const char *at, size_t n)
 {
 	struct http1_reader *reader = reader_of(parser);
 	GByteArray *body = reader->message.body;
 
-	if (body->len + n > reader->limits->body_bytes) {
+	if (!may_grow(reader, body->len + n)) {
 		reader->error = HTTP1_BODY_TOO_LARGE;
 		return 1;
 	}
+	if (reader->memory)
+		reader->memory->used += n;
 	g_byte_array_append(body, (const guint8 *)at, (guint)n);
 	return 0;
 }
@@ -172,6 +187,8 @@
 
 	g_string_truncate(message->text, 0);
 	g_string_truncate(message->target, 0);
+	if (reader->memory)
+		reader->memory->used -= message->body->len;
 	g_byte_array_set_size(message->body, 0);
 	message->n_headers = 0;
 	message->status = 0;
@@ -213,6 +230,7 @@
 
 	reader->requests = requests;
 	reader->limits = limits;
+	reader->memory = limits->memory;
 	reader->message.text = g_string_sized_new(256);
 	reader->message.target = g_string_new(NULL);
 	reader->message.body = g_byte_array_new();
@@ -220,10 +238,18 @@
 	return reader;
 }
 
+void http1_reader_release_memory(struct http1_reader *reader)
+{
+	if (reader->memory)
+		reader->memory->used -= reader->message.body->len;
+	reader->memory = NULL;
+}
+
 void http1_reader_destroy(struct http1_reader *reader)
 {
 	if (!reader)
 		return;
+	http1_reader_release_memory(reader);
 	g_string_free(reader->message.text, TRUE);
 	g_string_free(reader->message.target, TRUE);
 	g_byte_array_unref(reader->message.body);
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -257,6 +257,44 @@
 }
 END_TEST
 
+/* Guards against a daemon that exceeds its memory: each answer stays below the
+ * limit of one answer. */
+START_TEST(many_answers_without_end_are_bounded_together)
+{
+	enum { REQUESTS = 20, BYTES = 6 * 1024 * 1024 };
+	struct net_client *clients[REQUESTS];
+	GString *bytes = repeat("a");
+	struct fixture fixture;
+
+	fixture_create(&fixture);
+	fixture_publish(&fixture);
+	route_fleet_remove(forward_engine_fleet(fixture.engine), "u1", false,
+			   cs_clock_now(fixture.net.clock));
+	start_replica(&fixture, 0, g_strdup(OK_HEAD "\r\n"), false);
+	for (guint i = 0; i < REQUESTS; i++)
+		clients[i] = send_request(&fixture, "GET /one/");
+	ck_assert_uint_eq(fixture.servers[0]->n_open, REQUESTS);
+	for (gsize sent = 0; sent < BYTES; sent += bytes->len) {
+		net_server_send(fixture.servers[0], bytes->str, bytes->len);
+		net_run_until_idle(&fixture.net);
+	}
+	ck_assert_uint_le(fixture.servers[0]->n_open, 64 * 1024 * 1024 / BYTES);
+	/* A small answer always has room. The replica's reset connections keep
+	 * others from being opened for 200 ms. */
+	net_advance(&fixture.net, 250);
+	g_free(fixture.replies[0]);
+	fixture.replies[0] = g_strdup(GOOD);
+	fixture.servers[0]->reply = fixture.replies[0];
+	net_close(clients[0]);
+	clients[0] = send_request(&fixture, "GET /one/");
+	ck_assert_uint_eq(status_of(clients[0]), 200);
+	for (guint i = 0; i < REQUESTS; i++)
+		net_close(clients[i]);
+	fixture_destroy(&fixture);
+	g_string_free(bytes, TRUE);
+}
+END_TEST
+
 /* A replica that stops reporting may still run what it was sent. */
 START_TEST(a_running_request_of_a_silent_replica_is_not_sent_again)
 {
@@ -1005,6 +1043,7 @@
 
 UNIT_MAIN("forward", a_request_and_its_answer_are_forwarded_unchanged,
 	  a_refusal_without_the_request_id_proves_nothing,
+	  many_answers_without_end_are_bounded_together,
 	  a_running_request_of_a_silent_replica_is_not_sent_again,
 	  an_answer_without_end_is_cut_off_and_retried,
 	  only_a_valid_rate_limit_of_the_replica_counts,
