soak: Check the rate limit that a replica names

One replica of each run names 10 requests a second in all its answers, beside all other faults; the soak checks what arrives there in each window of 4 s.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -15,6 +15,9 @@
   allowed   a request runs only at a service of its route; a replica answers a
             request for another instance with 421 and does not run it
   extra     repeated attempts stay within the retry budget in every window
+  limit     a replica that names a rate limit gets, from LIMIT_CONTACT_S on,
+            at most LIMIT_FACTOR times what it allows and LIMIT_SLACK requests
+            in each window of LIMIT_WINDOW_S
   recover   of the requests sent later than 4 s after the last fault and
             answered, at least 90 % succeed
   ends      no daemon exits by itself; after SIGTERM it exits with status 0
@@ -44,6 +47,8 @@
 # are at most RATIO * first attempts + SLACK.
 RATIO, SLACK, WINDOW_S = 0.2, 30, 10
 UNSAFE_SERVICE = "orders"
+LIMIT_PER_S, LIMIT_FACTOR, LIMIT_SLACK = 10, 1.5, 5
+LIMIT_CONTACT_S, LIMIT_WINDOW_S = 5, 4
 
 
 def records(request_id, service):
@@ -134,13 +139,15 @@
     that the request did not run, "lose" aborts the connection after the run,
     "truncate" leaves out the last bytes of the answer, "duplicate" sends the
     answer twice, "surplus" sends further bytes after the answer. Until
-    pause_until the replica completes no request.
+    pause_until the replica completes no request. A limited replica names a rate
+    limit in its answers and records when they were sent and requests arrived.
     """
 
     def __init__(self, testbed, service, port):
         self.testbed, self.service, self.port = testbed, service, port
         self.id = f"i-{service}-{port}-{testbed.random.randrange(10**6)}"
         self.fault, self.pause_until = None, 0
+        self.limited, self.named_at, self.arrived = False, None, []
         self.server = None
 
     async def start(self):
@@ -176,6 +183,7 @@
         testbed, request_id = self.testbed, headers.get("request-id", "")
         fault = self.fault if testbed.random.random() < 0.5 else None
         testbed.arrivals[self.service].append((time.monotonic(), request_id))
+        self.arrived.append(time.monotonic())
         if headers.get("target-instance") != self.id:
             writer.write(answer_bytes(421, {"Instance-Id": self.id}, b""))
             return True
@@ -196,8 +204,11 @@
         else:
             out = b"".join(testbed.random.sample(
                 records(request_id, self.service), 8)) + b"rest"
-        whole = answer_bytes(200, {"Request-Id": request_id,
-                                   "Server-Stamp": stamp}, out)
+        names = {"Request-Id": request_id, "Server-Stamp": stamp}
+        if self.limited:
+            names["Server-Limit"] = str(LIMIT_PER_S)
+            self.named_at = self.named_at or time.monotonic()
+        whole = answer_bytes(200, names, out)
         if fault == "truncate":
             writer.write(whole[:-3])
             return False
@@ -401,6 +412,9 @@
             proxy = Proxy(base + 7 + i, (f"127.0.0.{10 + i}", base + 2))
             await proxy.start()
             self.seed_proxies.append(proxy)
+        self.limited = self.random.choice(
+            [r for r in self.replicas if r.service != UNSAFE_SERVICE])
+        self.limited.limited = True
         self.daemons = [Daemon(self, i) for i in range(self.n_daemons)]
         for daemon in self.daemons:
             await daemon.start()
@@ -528,7 +542,7 @@
 
     async def replace(self, old, drain):
         """Replace a replica by a new one of its service at its address."""
-        if old not in self.replicas:
+        if old not in self.replicas or old.limited:
             return
         self.replicas.remove(old)
         if drain:
@@ -568,6 +582,19 @@
                                 f"{n_first} first attempts")
                     break
 
+    def check_limit(self):
+        """Check the rule "limit" in the window before each arrival."""
+        replica = self.limited
+        if not replica.named_at:
+            return
+        first = replica.named_at + LIMIT_CONTACT_S
+        times = [t for t in replica.arrived if t >= first]
+        most = max((sum(end - LIMIT_WINDOW_S < t <= end for t in times)
+                    for end in times), default=0)
+        if most > LIMIT_FACTOR * LIMIT_PER_S * LIMIT_WINDOW_S + LIMIT_SLACK:
+            self.breach("limit", f"{replica.id}: {most} requests in "
+                        f"{LIMIT_WINDOW_S} s")
+
     def check_recovery(self, since):
         """Check the rule "recover" for answered requests sent after since."""
         late = [r for r in self.requests if r["at"] > since and
@@ -600,6 +627,7 @@
             server.close()
         self.check_runs()
         self.check_budget()
+        self.check_limit()
         self.check_recovery(faults_ended)
         return len(self.requests)
 
