cuminsail: Show the rate limits that left no room for a part in why

A part that fails with the reason rate-limit names no replica, so the trace of its request had no state that explained it. It now lists the last known limits of the service's replicas.

--- a/src/cuminsail/trace.c
+++ b/src/cuminsail/trace.c
@@ -18,6 +18,10 @@
 
 /* ---- reading ---- */
 
+/* Events that log a state of a replica. */
+static const char *const replica_events[] = {"replica", "replica-outlier",
+					     "replica-limit", NULL};
+
 /* Return: a new key made of the source, the event and the replica of an entry
  * that logs a state, so that a later entry replaces it; else NULL. */
 static char *state_key(const struct log_entry *entry)
@@ -27,8 +31,7 @@
 
 	if (!event)
 		return NULL;
-	if (replica &&
-	    (!strcmp(event, "replica") || !strcmp(event, "replica-outlier")))
+	if (replica && g_strv_contains(replica_events, event))
 		return g_strconcat(entry->source, " ", event, " ", replica,
 				   NULL);
 	if (!strcmp(event, "table-taken"))
@@ -92,6 +95,30 @@
 		print_entry(state, from_ms);
 }
 
+/* Prints the rate limits of a service's replicas, in the order of their ids, if
+ * @entry says that they left no room for a part of the request. */
+static void print_limits(const struct trace *trace,
+			 const struct log_entry *entry, gint64 from_ms)
+{
+	const char *service = log_entry_get(entry, "service");
+	g_autoptr(GList) keys = NULL;
+
+	if (g_strcmp0(log_entry_get(entry, "reason"), "rate-limit") != 0)
+		return;
+	keys = g_list_sort(g_hash_table_get_keys(trace->states),
+			   (GCompareFunc)g_strcmp0);
+	for (GList *key = keys; key; key = key->next) {
+		const struct log_entry *state =
+			g_hash_table_lookup(trace->states, key->data);
+
+		if (!g_strcmp0(log_entry_get(state, "event"),
+			       "replica-limit") &&
+		    !g_strcmp0(log_entry_get(state, "service"), service) &&
+		    !strcmp(state->source, entry->source))
+			print_entry(state, from_ms);
+	}
+}
+
 /* Prints the state of the routes and of each replica in the lines of the
  * request. */
 static void print_states(const struct trace *trace, gint64 from_ms)
@@ -104,10 +131,12 @@
 		const struct log_entry *entry = trace->entries->pdata[i];
 		const char *replica = log_entry_get(entry, "replica");
 
+		print_limits(trace, entry, from_ms);
 		if (!replica || !g_hash_table_add(seen, (gpointer)replica))
 			continue;
-		print_state(trace, entry, "replica", replica, from_ms);
-		print_state(trace, entry, "replica-outlier", replica, from_ms);
+		for (guint k = 0; replica_events[k]; k++)
+			print_state(trace, entry, replica_events[k], replica,
+				    from_ms);
 	}
 }
 
--- a/test/client.sh
+++ b/test/client.sh
@@ -82,6 +82,18 @@
 expect 0 'request r2' sh -c "$BIN/cuminsail why r2 -l - <'$WORK/d1.log'"
 expect 1 'no line of r9 in 6 lines' $BIN/cuminsail why r9 -l "$WORK/d1.log"
 expect 3 'none.log: No such file' $BIN/cuminsail why r1 -l "$WORK/none.log"
+cat >"$WORK/limit.log" <<'END'
+<5>at=4000 event=replica-limit replica=u1 service=s state=named per_s=9
+<5>at=4001 event=replica-limit replica=u2 service=t state=named per_s=8
+<6>at=5000 event=part-failed id=r5 service=s reason=rate-limit replica=-
+<6>at=5001 event=request id=r5 outcome=partial status=200 elapsed_ms=1.0
+END
+expect 0 'replica-limit replica=u1 service=s state=named per_s=9' \
+	$BIN/cuminsail why r5 -l "$WORK/limit.log"
+if $BIN/cuminsail why r5 -l "$WORK/limit.log" | grep -q u2; then
+	echo "client: why prints the rate limit of a replica of another service"
+	failed=1
+fi
 cat >"$WORK/day.log" <<'END'
 <6>at=5000 event=request id=a outcome=answered status=200 elapsed_ms=10.0
 <6>at=5100 event=request id=b outcome=partial status=200 elapsed_ms=30.0
