--- a/include/cuminsail/route_limit.h
+++ b/include/cuminsail/route_limit.h
@@ -51,6 +51,19 @@
 void route_bucket_refill(struct route_bucket *bucket,
 			 const struct route_bucket_rate *rate, gint64 now_us);
 
+/** Longest fill time, 31 years: sums with a clock time do not overflow. */
+#define ROUTE_FILL_TIME_MAX_US 1e15
+
+/**
+ * route_bucket_fill_time_us - time in which a bucket gets a number of tokens
+ * @rate: a rate above 0
+ * @tokens: the number
+ *
+ * Return: microseconds, up to ROUTE_FILL_TIME_MAX_US.
+ */
+gint64 route_bucket_fill_time_us(const struct route_bucket_rate *rate,
+				 double tokens);
+
 /**
  * route_bucket_ready - whether a request may be sent
  * @bucket: a bucket that was refilled
--- a/src/libroute/bucket.c
+++ b/src/libroute/bucket.c
@@ -13,17 +13,20 @@
 					.refilled_us = now_us};
 }
 
-static gint64 fill_time_us(const struct route_bucket_rate *rate, double tokens)
+gint64 route_bucket_fill_time_us(const struct route_bucket_rate *rate,
+				 double tokens)
 {
-	return (gint64)(tokens / rate->per_s * CS_US_PER_S);
+	double us = tokens / rate->per_s * CS_US_PER_S;
+
+	return (gint64)MIN(us, ROUTE_FILL_TIME_MAX_US);
 }
 
 /* An unused bucket is full for its lifetime, fills again, and so on. */
 static void expire(struct route_bucket *bucket,
 		   const struct route_bucket_rate *rate, gint64 now_us)
 {
-	gint64 cycle_us =
-		ROUTE_BUCKET_LIFETIME_US + fill_time_us(rate, rate->capacity);
+	gint64 cycle_us = ROUTE_BUCKET_LIFETIME_US +
+			  route_bucket_fill_time_us(rate, rate->capacity);
 	gint64 phase_us = (now_us - bucket->full_us) % cycle_us;
 
 	if (phase_us <= ROUTE_BUCKET_LIFETIME_US) {
@@ -52,11 +55,12 @@
 		if (bucket->tokens >= rate->capacity)
 			bucket->full_us =
 				now_us -
-				fill_time_us(rate,
-					     bucket->tokens - rate->capacity);
+				route_bucket_fill_time_us(
+					rate, bucket->tokens - rate->capacity);
 	}
 	bucket->tokens = MIN(bucket->tokens, rate->capacity);
-	if (bucket->full_us && fill_time_us(rate, 1) > ROUTE_BUCKET_LIFETIME_US)
+	if (bucket->full_us &&
+	    route_bucket_fill_time_us(rate, 1) > ROUTE_BUCKET_LIFETIME_US)
 		expire(bucket, rate, now_us);
 }
 
--- a/src/libroute/limit.c
+++ b/src/libroute/limit.c
@@ -21,6 +21,9 @@
 #define STALE_US   (10 * CS_US_PER_S)
 #define PROBE_PART 0.1
 
+/* A higher limit counts as this one, which no load reaches. */
+#define LIMIT_MAX 1e9
+
 /* Allows for the rounding of a limit's parts. */
 #define ROUNDING 1e-9
 
@@ -101,8 +104,7 @@
 		return 0;
 	if (rate.per_s <= 0)
 		return G_MAXINT64;
-	return MAX((gint64)((1 - bucket->tokens) / rate.per_s * CS_US_PER_S),
-		   1);
+	return MAX(route_bucket_fill_time_us(&rate, 1 - bucket->tokens), 1);
 }
 
 gint64 route_pool_limit_wait_us(struct route_pool *pool, gint64 now_us)
@@ -129,10 +131,9 @@
 	if (!limit->observed_us && replica->pool)
 		TAILQ_INSERT_TAIL(&replica->pool->fleet->limited, replica,
 				  limited);
-
 	if (before <= 0)
 		route_bucket_start(&limit->bucket, now_us);
-	limit->per_s = per_s;
+	limit->per_s = MIN(per_s, LIMIT_MAX);
 	limit->observed_us = observed_us;
 	if (before == per_s)
 		return ROUTE_LIMIT_SAME;
--- a/test/unit/test_division.c
+++ b/test/unit/test_division.c
@@ -57,6 +57,41 @@
 }
 END_TEST
 
+/* Neither a time nor a level of a bucket overflows. */
+START_TEST(extreme_rate_limits_are_handled)
+{
+	static const double limits[] = {5e-324, 1e-300, 1e-9,
+					1e9,	1e300,	1.7e308};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(limits); i++) {
+		struct view view = view_create();
+		struct route_place place = {true, 0, 1, 1};
+		struct route_pool *pool;
+		struct route_replica *replica;
+
+		view_put(&view, "u", "a");
+		replica = view_choose(&view, NULL);
+		pool = route_fleet_pool(view.fleet, "s");
+		route_fleet_set_place(view.fleet, "east", &place, view.now);
+		route_replica_observe_limit(replica, limits[i], view.now,
+					    view.now);
+		for (int k = 0; k < 5; k++) {
+			bool allowed = view_choose(&view, NULL) != NULL;
+
+			ck_assert_msg(allowed == (limits[i] > 1 && k > 0),
+				      "case %zu", i);
+			ck_assert_int_ge(
+				route_pool_limit_wait_us(pool, view.now), 0);
+			if (allowed)
+				view_run_attempt(&view, replica, ROUTE_ANSWERED,
+						 0);
+			view.now += CS_US_PER_S;
+		}
+		view_destroy(&view);
+	}
+}
+END_TEST
+
 START_TEST(another_incarnation_has_no_rate_limit)
 {
 	struct view view = view_create();
@@ -506,6 +541,7 @@
 
 UNIT_MAIN("division", fractions_of_all_places_add_up_to_the_limit,
 	  daemons_near_the_replica_get_most_of_its_limit,
+	  extreme_rate_limits_are_handled,
 	  another_incarnation_has_no_rate_limit,
 	  a_repeat_goes_to_a_replica_without_a_rate_limit,
 	  a_limit_ends_only_with_an_answer_to_a_later_request,
