--- a/src/libroute/limit.c
+++ b/src/libroute/limit.c
@@ -9,6 +9,11 @@
 /* Part of a limit for the daemons in the replica's region. */
 #define NEAR_PART 0.9
 
+/* Capacity of a bucket that fills slowly. With one token it would lose what it
+ * gets between a full bucket and the next request, half of it if requests come
+ * at the rate of the tokens. */
+#define CAPACITY_MIN 1.5
+
 /* Time in which a bucket that holds more than one token fills up. */
 #define BURST_US (250 * CS_US_PER_MS)
 
@@ -82,7 +87,7 @@
 	struct route_bucket_rate rate;
 
 	rate.per_s = limit->per_s * own_fraction(replica, now_us);
-	rate.capacity = MAX(rate.per_s * BURST_US / CS_US_PER_S, 1);
+	rate.capacity = MAX(rate.per_s * BURST_US / CS_US_PER_S, CAPACITY_MIN);
 	route_bucket_refill(&limit->bucket, &rate, now_us);
 	return rate;
 }
