--- a/test/unit/test_follow.c
+++ b/test/unit/test_follow.c
@@ -460,6 +460,86 @@
 }
 END_TEST
 
+/* Replaces, removes or doubles up to 6 bytes after @start. */
+static void damage(GRand *random, GString *text, gsize start)
+{
+	for (int k = g_rand_int_range(random, 1, 7); k > 0 && text->len > start;
+	     k--) {
+		gsize at = (gsize)g_rand_int_range(random, (gint)start,
+						   (gint)text->len);
+
+		switch (g_rand_int_range(random, 0, 3)) {
+		case 0:
+			text->str[at] = (char)g_rand_int_range(random, 33, 127);
+			break;
+		case 1:
+			g_string_erase(text, (gssize)at, 1);
+			break;
+		case 2:
+			g_string_insert_c(text, (gssize)at, text->str[at]);
+			break;
+		}
+	}
+}
+
+/* Guards against a daemon that ends because of one damaged message. */
+START_TEST(damaged_messages_between_daemons_end_no_process)
+{
+	static const char call[] =
+		"&callers=0000abcd:a,0000abce:b,&seen=u%253A1:3:1:90,"
+		"&limits=u%253A1:0:9.5:310,";
+	static const char answer[] =
+		"{\"daemons\": 7, \"daemons_in_zone\": 3, \"age_ms\": 120, "
+		"\"outliers\": [[\"u:1\", 4.2, 0.0]], "
+		"\"limits\": [[\"u:1\", 0, 9.5, 310]], "
+		"\"places\": {\"east\": [true, 0, 3, 4]}, "
+		"\"picture\": \"H4sIAAAAAAAAA6uuBQBDv6ajAgAAAA==\"}";
+	GRand *random = g_rand_new_with_seed(17);
+	struct net net = net_create();
+	struct daemon seed;
+	struct daemon follower;
+	struct net_server *server;
+
+	cs_clock_advance(net.clock, 10 * CS_US_PER_S);
+	daemon_start(&net, &seed, 0, "a");
+	list_replica(&seed);
+	daemon_confirm_view(&net, &seed, 5);
+	for (int i = 0; i < 1000; i++) {
+		GString *text = g_string_new(call);
+
+		damage(random, text, 0);
+		follow_call_is_answered(&net, &seed, text->str);
+		g_string_free(text, TRUE);
+	}
+	ck_assert(follow_call_is_answered(&net, &seed, call));
+	daemon_stop(&seed);
+	/* The address of the first seed. */
+	server = net_server_create(&net, 72, NULL, true);
+	daemon_start(&net, &follower, 2, "a");
+	list_replica(&follower);
+	for (int i = 0; i < 100; i++) {
+		GString *text = g_string_new(answer);
+		g_autofree char *reply = NULL;
+
+		if (i < 99)
+			damage(random, text, 1);
+		reply = g_strdup_printf(
+			"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+			text->len, text->str);
+		server->reply = reply;
+		net_advance(&net, 1600);
+		server->reply = NULL;
+		g_string_free(text, TRUE);
+	}
+	ck_assert_uint_gt(server->requests, 50);
+	ck_assert_double_gt(limit_of(&follower), 0);
+	daemon_stop(&follower);
+	net_server_destroy(server);
+	net_destroy(&net);
+	g_rand_free(random);
+}
+END_TEST
+
 /* A call that lists many callers must not exceed the size limit of a request.
  * At the target of 2,000 daemons a seed has 667 callers. The answer counts the
  * seed, the daemon that calls and the callers it lists. */
@@ -529,5 +609,6 @@
 	  outliers_seen_by_one_daemon_reach_the_others,
 	  malformed_reports_and_outliers_are_ignored,
 	  malformed_limits_and_places_are_ignored,
+	  damaged_messages_between_daemons_end_no_process,
 	  a_seed_accepts_a_call_with_2000_callers,
 	  a_follower_switches_from_a_seed_with_a_malformed_view)
