route: Start the time of an outlier anew after it has faded

A replica that had been an outlier, then got no requests for a minute, was listed again with its first slow report, without the 400 ms that keep a pause from counting; all daemons then avoided it. Cause: the time since which it is one was cleared only by a report after which it is none, not when its estimates faded in silence. The test failed before (listed 100 ms after the first report).

--- a/src/libroute/outlier.c
+++ b/src/libroute/outlier.c
@@ -154,6 +154,9 @@
 		*pooled = (struct route_health){.slowness = 1};
 	weight = report_weight(attempts, now_us - pooled->at_us);
 	*pooled = decayed(pooled, now_us);
+	/* Its estimates may have become typical since the last report. */
+	if (!is_outlier(pooled))
+		replica->outlier_since_us = 0;
 	if (stats->answers) {
 		double slowness = stats->slowness / stats->answers;
 
--- a/test/unit/test_outlier.c
+++ b/test/unit/test_outlier.c
@@ -340,6 +340,32 @@
 }
 END_TEST
 
+/* Guards against a pause that counts at once: the replica was an outlier long
+ * ago, and no report has shown it to be typical since. */
+START_TEST(an_outlier_that_faded_in_silence_starts_anew)
+{
+	static const struct route_stats slow = {.answers = 20, .slowness = 200};
+	struct view view = view_create();
+
+	add_replicas(&view);
+	for (int i = 0; i < 20; i++) {
+		view.now += 100 * MS;
+		route_fleet_pool_report(view.fleet, "near", &slow, view.now);
+	}
+	ck_assert_uint_eq(count_outliers(&view), 1);
+	view.now += 60 * (gint64)CS_US_PER_S;
+	ck_assert_uint_eq(count_outliers(&view), 0);
+	route_fleet_pool_report(view.fleet, "near", &slow, view.now);
+	view.now += 100 * MS;
+	route_fleet_pool_report(view.fleet, "near", &slow, view.now);
+	ck_assert_uint_eq(count_outliers(&view), 0);
+	view.now += 500 * MS;
+	route_fleet_pool_report(view.fleet, "near", &slow, view.now);
+	ck_assert_uint_eq(count_outliers(&view), 1);
+	view_destroy(&view);
+}
+END_TEST
+
 static void read_slowness(const char *id, const struct route_stats *stats,
 			  void *user)
 {
@@ -365,7 +391,8 @@
 }
 END_TEST
 
-UNIT_MAIN("outlier", report_of_a_replica_that_hangs_stays_in_range,
+UNIT_MAIN("outlier", an_outlier_that_faded_in_silence_starts_anew,
+	  report_of_a_replica_that_hangs_stays_in_range,
 	  slow_replica_is_avoided_by_all_daemons_within_seconds,
 	  short_pause_is_not_an_outlier, own_samples_override_pooled_estimates,
 	  old_failures_decay_before_a_new_report_counts,
