--- a/test/unit/test_route.c
+++ b/test/unit/test_route.c
@@ -378,6 +378,39 @@
 }
 END_TEST
 
+/* Guards against a burst at a replica that becomes cold again: each daemon's
+ * bucket had filled while the replica was warm. */
+START_TEST(a_replica_that_turns_cold_again_gets_no_burst)
+{
+	struct view view = view_create();
+	struct route_entry entry = view_entry("near", "a");
+	guint sent = 0;
+
+	route_table_add_service(view.table, "s", 30, 20);
+	route_fleet_set_table(view.fleet, view.table);
+	for (int i = 0; i < 2; i++) {
+		entry.cold_us = 1 * CS_US_PER_S;
+		route_fleet_put(view.fleet, &entry, view.now);
+		sent = 0;
+		for (int ms = 0; ms < 300; ms++) {
+			struct route_replica *replica =
+				view_choose(&view, NULL);
+
+			view.now += MS;
+			if (!replica)
+				continue;
+			sent++;
+			view_run_attempt(&view, replica, ROUTE_ANSWERED, 0);
+		}
+		/* 20 requests/s times 1.5, for one of ten daemons, over 0.3 s.
+		 */
+		ck_assert_msg(sent <= 1, "time %d: %u", i, sent);
+		view.now += 60 * (gint64)CS_US_PER_S;
+	}
+	view_destroy(&view);
+}
+END_TEST
+
 /* ---- budget ---- */
 
 START_TEST(extra_load_is_limited_in_every_window)
@@ -655,6 +688,7 @@
 	  replica_that_never_answers_is_avoided,
 	  connection_limit_is_divided_among_the_daemons,
 	  request_rate_of_a_cold_replica_is_limited,
+	  a_replica_that_turns_cold_again_gets_no_burst,
 	  extra_load_is_limited_in_every_window,
 	  less_important_extra_requests_leave_a_reserve,
 	  first_hedge_waits_for_a_share_of_the_objective,
