--- a/include/cuminsail/route_limit.h
+++ b/include/cuminsail/route_limit.h
@@ -142,6 +142,20 @@
  */
 void route_members_expire(struct route_members *members, gint64 now_us);
 
+/**
+ * route_members_set_contact - record how many seeds are up
+ * @members: the set of a seed
+ * @n_up: seeds that have called this one lately, and this one
+ * @n_seeds: all seeds
+ * @now_us: current time
+ *
+ * A seed without contact with most seeds may be on the smaller side of a cut
+ * and not know of all daemons on the other side. It assigns no places then, nor
+ * for 7 s afterwards.
+ */
+void route_members_set_contact(struct route_members *members, guint n_up,
+			       guint n_seeds, gint64 now_us);
+
 /**
  * route_members_place - a daemon's place for the replicas of a region
  * @members: a set
@@ -150,8 +164,8 @@
  * @now_us: current time
  * @place: where to put the place
  *
- * Return: false for the first 7 s of the set or of the daemon in it, and for an
- * unknown daemon; @place is not set then.
+ * Return: false without contact, for the first 7 s of the set or of the daemon
+ * in it, and for an unknown daemon; @place is not set then.
  */
 bool route_members_place(struct route_members *members, guint32 hash,
 			 const char *region, gint64 now_us,
--- a/src/libforward/peers.c
+++ b/src/libforward/peers.c
@@ -80,7 +80,6 @@
 	guint n_daemons;
 	gint64 counted_us;
 	struct route_members *members; /* divide the rate limits of replicas */
-	gint64 contact_since_us; /* with most seeds without a gap; 0: no */
 };
 
 static void free_known_peer(void *data)
@@ -195,7 +194,6 @@
 
 static void update_contact(struct forward_peers *peers)
 {
-	guint n_seeds = peers->engine->settings->seeds->len;
 	guint n_up = 1;
 	GHashTableIter iter;
 	gpointer value;
@@ -203,22 +201,9 @@
 	g_hash_table_iter_init(&iter, peers->known_peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		n_up += ((const struct known_peer *)value)->callers != NULL;
-	if (2 * n_up <= n_seeds)
-		peers->contact_since_us = 0;
-	else if (!peers->contact_since_us)
-		peers->contact_since_us = MAX(peers->counted_us, 1);
-}
-
-/* Return: the places of a daemon, for all regions. A seed that has not been in
- * contact with most seeds for some time may be on the smaller side of a cut and
- * not know of all daemons on the other side, so it assigns none. */
-static json_t *places_of(struct forward_peers *peers, guint32 hash)
-{
-	if (!peers->contact_since_us ||
-	    forward_now(peers->engine) - peers->contact_since_us <
-		    ROUTE_MEMBERS_SETTLE_US)
-		return json_object();
-	return forward_limits_places(peers->engine, peers->members, hash);
+	route_members_set_contact(peers->members, n_up,
+				  peers->engine->settings->seeds->len,
+				  peers->counted_us);
 }
 
 /* Other daemons are told their places by a seed; a seed has to do it itself. */
@@ -229,7 +214,7 @@
 
 	if (!engine->follow || !forward_follow_is_seed(engine->follow))
 		return;
-	places = places_of(peers, own_hash(peers));
+	places = forward_limits_places(engine, peers->members, own_hash(peers));
 	forward_limits_apply(engine, NULL, places);
 	json_decref(places);
 }
@@ -391,7 +376,8 @@
 	guint in_zone = count_daemons_in_zone(peers, zone);
 	GString *body = g_string_sized_new(view ? strlen(view) + 256 : 256);
 	json_t *limits = forward_limits_export(peers->engine);
-	json_t *places = places_of(peers, hash);
+	json_t *places =
+		forward_limits_places(peers->engine, peers->members, hash);
 	g_autofree char *limits_text = cs_json_print(limits);
 	g_autofree char *places_text = cs_json_print(places);
 	struct http1_reply reply = {.status = 200};
--- a/src/libroute/members.c
+++ b/src/libroute/members.c
@@ -37,6 +37,7 @@
 struct route_members {
 	GHashTable *set; /* hash of the control address to struct member */
 	gint64 created_us;
+	gint64 contact_since_us; /* with most seeds, without a gap; 0: no */
 	bool changed; /* the order below is out of date */
 	GArray *all; /* guint32: the hashes, ascending */
 	GHashTable *groups; /* region name to struct group */
@@ -210,6 +211,23 @@
 
 /* ---- places ---- */
 
+void route_members_set_contact(struct route_members *members, guint n_up,
+			       guint n_seeds, gint64 now_us)
+{
+	if (2 * n_up <= n_seeds)
+		members->contact_since_us = 0;
+	else if (!members->contact_since_us)
+		members->contact_since_us = MAX(now_us, 1);
+}
+
+/* Return: whether the set has had the time to learn of all daemons. */
+static bool is_settled(const struct route_members *members, gint64 now_us)
+{
+	return now_us - members->created_us >= ROUTE_MEMBERS_SETTLE_US &&
+	       members->contact_since_us &&
+	       now_us - members->contact_since_us >= ROUTE_MEMBERS_SETTLE_US;
+}
+
 /* Return: number of hashes below the given one. */
 static guint rank_of(const GArray *hashes, guint32 hash)
 {
@@ -235,7 +253,7 @@
 		g_hash_table_lookup(members->set, GUINT_TO_POINTER(hash));
 	const struct group *near;
 
-	if (!self || now_us - members->created_us < ROUTE_MEMBERS_SETTLE_US ||
+	if (!self || !is_settled(members, now_us) ||
 	    now_us - self->first_seen_us < ROUTE_MEMBERS_SETTLE_US)
 		return false;
 	update_order(members);
--- a/test/unit/test_division.c
+++ b/test/unit/test_division.c
@@ -229,6 +229,7 @@
 	guint position;
 	guint n_near;
 
+	route_members_set_contact(members, 1, 1, 100 * S);
 	for (gint64 t = 100; t <= 120; t++) {
 		route_members_seen(members, 20, "east", t * S);
 		if (t >= 112)
@@ -262,6 +263,7 @@
 		guint position;
 		guint n_near;
 
+		route_members_set_contact(members, 1, 1, 0);
 		for (guint k = 1; k <= 5; k++)
 			route_members_seen(members, k, "east", 10 * S);
 		for (gint64 t = 11; t <= 10 + cases[i].silent_s; t++) {
@@ -281,6 +283,37 @@
 }
 END_TEST
 
+/* Guards against a whole limit assigned on each side of a cut. */
+START_TEST(a_seed_without_contact_with_most_seeds_assigns_no_place)
+{
+	static const struct {
+		guint n_up; /* of 3 seeds, at that time */
+		bool assigns;
+	} cases[] = {
+		[0] = {1, false},  [5] = {2, false},  [11] = {2, false},
+		[12] = {2, true},  [20] = {3, true},  [30] = {1, false},
+		[31] = {2, false}, [37] = {2, false}, [38] = {2, true},
+	};
+	struct route_members *members = route_members_create(0);
+	guint position;
+	guint n_near;
+
+	for (guint t = 0; t < G_N_ELEMENTS(cases); t++) {
+		route_members_seen(members, 1, "east", t * S);
+		if (!cases[t].n_up)
+			continue;
+		route_members_set_contact(members, cases[t].n_up, 3, t * S);
+		ck_assert_msg(has_place(members, 1, t * S, &position,
+					&n_near) == cases[t].assigns,
+			      "second %u", t);
+	}
+	/* All seeds are the only one. */
+	route_members_set_contact(members, 1, 1, 40 * S);
+	ck_assert(has_place(members, 1, 50 * S, &position, &n_near));
+	route_members_destroy(members);
+}
+END_TEST
+
 /* ---- many daemons ---- */
 
 enum { DAEMONS = 24, SEEDS = 3, REGIONS = 3, RUNS = 40 };
@@ -312,7 +345,6 @@
 	bool unreachable[SEEDS]; /* a seed that nobody reaches */
 	guint restarted[DAEMONS]; /* step of the last restart */
 	gint64 heard_us[SEEDS][SEEDS]; /* last call of a seed to another one */
-	gint64 contact_since_us[SEEDS]; /* as in peers.c */
 	gint64 observed_us[SEEDS]; /* newest answer of which a seed knows */
 	guint sent[STEPS];
 };
@@ -397,22 +429,14 @@
 	*(struct route_limit *)user = replica->limit;
 }
 
-/* As in peers.c: only a seed that has been in contact with most seeds for some
- * time tells places. */
-static bool in_contact(struct simulation *sim, guint seed)
+static void update_contact(struct simulation *sim, guint seed)
 {
 	guint n_up = 1;
 
 	for (guint i = 0; i < SEEDS; i++)
 		n_up += sim->heard_us[seed][i] &&
 			sim->now - sim->heard_us[seed][i] <= 7 * S;
-	if (2 * n_up <= SEEDS)
-		sim->contact_since_us[seed] = 0;
-	else if (!sim->contact_since_us[seed])
-		sim->contact_since_us[seed] = sim->now;
-	return sim->contact_since_us[seed] &&
-	       sim->now - sim->contact_since_us[seed] >=
-		       ROUTE_MEMBERS_SETTLE_US;
+	route_members_set_contact(sim->members[seed], n_up, SEEDS, sim->now);
 }
 
 static void tell(struct simulation *sim, guint seed, guint daemon)
@@ -428,8 +452,7 @@
 	if (limit.observed_us)
 		route_fleet_learn_limit(sim->fleets[daemon], "u", 0, &limit,
 					&change, sim->now);
-	if (!in_contact(sim, seed))
-		return;
+	update_contact(sim, seed);
 	if (route_members_place(sim->members[seed], 1 + daemon * 2654435761U,
 				"east", sim->now, &place))
 		route_fleet_set_place(sim->fleets[daemon], "east", &place,
@@ -475,7 +498,6 @@
 	route_members_destroy(sim->members[seed]);
 	sim->members[seed] = route_members_create(sim->now);
 	memset(sim->heard_us[seed], 0, sizeof(sim->heard_us[seed]));
-	sim->contact_since_us[seed] = 0;
 	memset(sim->called_us[seed], 0, sizeof(sim->called_us[seed]));
 	sim->observed_us[seed] = 0;
 }
@@ -591,4 +613,5 @@
 	  a_limit_ends_only_with_an_answer_to_a_later_request,
 	  a_new_daemon_gets_no_place_before_the_others_were_told,
 	  a_silent_daemon_keeps_its_place_unless_most_are_up,
+	  a_seed_without_contact_with_most_seeds_assigns_no_place,
 	  the_sum_stays_below_the_limit_whatever_daemons_know_of_each_other)
