--- a/test/unit/test_follow.c
+++ b/test/unit/test_follow.c
@@ -327,6 +327,28 @@
 	return per_s;
 }
 
+/* Starts a daemon that gets an answer with further members from the first seed.
+ * Returns the server in the seed's place. */
+static struct net_server *start_follower(struct net *net,
+					 struct daemon *follower,
+					 const char *members)
+{
+	g_autofree char *body = g_strdup_printf(
+		"{\"daemons\": 2, \"daemons_in_zone\": 1, \"age_ms\": 0, %s}",
+		members);
+	g_autofree char *reply = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		strlen(body), body);
+	struct net_server *server = net_server_create(net, 72, reply, true);
+
+	daemon_start(net, follower, 2, "a");
+	list_replica(follower);
+	net_advance(net, 200);
+	ck_assert_uint_gt(server->requests, 0);
+	server->reply = NULL;
+	return server;
+}
+
 /* A report is read up to its first malformed entry; a malformed outlier is left
  * out. Neither makes the call fail. */
 START_TEST(malformed_reports_and_outliers_are_ignored)
@@ -356,22 +378,12 @@
 	ck_assert_int_eq(replica_of(&seed)->pooled.at_us, 0);
 	daemon_stop(&seed);
 	for (gsize i = 0; i < G_N_ELEMENTS(outliers); i++) {
-		g_autofree char *body = g_strdup_printf(
-			"{\"daemons\": 2, \"daemons_in_zone\": 1, "
-			"\"age_ms\": 0, \"outliers\": %s}",
-			outliers[i]);
-		g_autofree char *reply = g_strdup_printf(
-			"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
-			strlen(body), body);
-		/* The address of the first seed. */
-		struct net_server *server =
-			net_server_create(&net, 72, reply, true);
+		g_autofree char *extra =
+			g_strdup_printf("\"outliers\": %s", outliers[i]);
 		struct daemon follower;
+		struct net_server *server =
+			start_follower(&net, &follower, extra);
 
-		daemon_start(&net, &follower, 2, "a");
-		list_replica(&follower);
-		net_advance(&net, 200);
-		ck_assert_uint_gt(server->requests, 0);
 		ck_assert_int_eq(replica_of(&follower)->received.at_us, 0);
 		daemon_stop(&follower);
 		net_server_destroy(server);
@@ -436,22 +448,10 @@
 	ck_assert_double_eq(limit_of(&seed), 9);
 	daemon_stop(&seed);
 	for (gsize i = 0; i < G_N_ELEMENTS(bodies); i++) {
-		g_autofree char *body = g_strdup_printf(
-			"{\"daemons\": 2, \"daemons_in_zone\": 1, "
-			"\"age_ms\": 0, %s}",
-			bodies[i]);
-		g_autofree char *reply = g_strdup_printf(
-			"HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
-			strlen(body), body);
-		/* The address of the first seed. */
-		struct net_server *server =
-			net_server_create(&net, 72, reply, true);
 		struct daemon follower;
+		struct net_server *server =
+			start_follower(&net, &follower, bodies[i]);
 
-		daemon_start(&net, &follower, 2, "a");
-		list_replica(&follower);
-		net_advance(&net, 200);
-		ck_assert_uint_gt(server->requests, 0);
 		ck_assert_msg(limit_of(&follower) == 0, "body %zu", i);
 		daemon_stop(&follower);
 		net_server_destroy(server);
--- a/test/unit/test_limit.c
+++ b/test/unit/test_limit.c
@@ -1,6 +1,7 @@
 /* Rate limits that replicas name: what a replica gets from several daemons. */
 #include "daemon.h"
 #include "unit.h"
+#include "view.h"
 
 #include "cuminsail/forward.h"
 
@@ -31,18 +32,11 @@
 static struct route_table *create_table(void)
 {
 	struct route_table *table = route_table_create(3);
-	struct route *route = route_create(ROUTE_SERVICE);
+	struct route *route =
+		view_add_route(table, "r", "h", "/", ROUTE_SERVICE);
 
 	table->limits = (struct route_limits){16384, 65536, 3000, 60000};
-	route->name = g_strdup("r");
-	route->host = g_strdup("h");
-	route->prefix = g_strdup("/");
-	route->service = g_strdup("s");
-	route->idempotent = true;
-	route->attempts_max = 2;
 	route->objective_us = 200 * MS;
-	route->timeout_us = 1000 * MS;
-	route_table_add(table, route);
 	route_table_add_service(table, "s", 1200, 0);
 	route_table_seal(table);
 	return table;
