test: Show that a change is dropped whose revision a lost change had

The test plays that at one reader: revision 63 in era 1, a copy with 40 in era 2, then a change with 63 again. On this code: "Assertion 'fixture.changes->str == "+a -b "' failed: fixture.changes->str == "-b "".

--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -291,6 +291,11 @@
 
 /* ---- the store ---- */
 
+struct store_reply {
+	char *lines; /* header lines, or NULL */
+	char *text; /* status, a space, the body */
+};
+
 struct store_fixture {
 	struct net net;
 	struct http1_server_limits limits;
@@ -301,25 +306,35 @@
 	/* Reported changes: "+key ", "-key " for a removal, or the encoded
 	 * table and the key. */
 	GString *changes;
-	GQueue replies; /* char *: status, a space, the body */
+	GQueue replies; /* struct store_reply */
 	struct http1_exchange *waiting; /* the call without a reply, or NULL */
 	guint answers; /* valid answers */
 };
 
+static void free_reply(void *data)
+{
+	struct store_reply *reply = data;
+
+	g_free(reply->lines);
+	g_free(reply->text);
+	g_free(reply);
+}
+
 static void reply_next(struct store_fixture *fixture,
 		       struct http1_exchange *exchange)
 {
-	char *text = g_queue_pop_head(&fixture->replies);
+	struct store_reply *next = g_queue_pop_head(&fixture->replies);
 	struct http1_reply reply = {0};
 
-	fixture->waiting = text ? NULL : exchange;
-	if (!text)
+	fixture->waiting = next ? NULL : exchange;
+	if (!next)
 		return;
-	reply.status = (guint)strtoul(text, NULL, 10);
-	reply.body = text + 4;
-	reply.body_length = strlen(text + 4);
+	reply.status = (guint)strtoul(next->text, NULL, 10);
+	reply.header_lines = next->lines;
+	reply.body = next->text + 4;
+	reply.body_length = strlen(next->text + 4);
 	http1_exchange_reply(exchange, &reply);
-	g_free(text);
+	free_reply(next);
 }
 
 static void on_call(struct http1_exchange *exchange,
@@ -362,13 +377,23 @@
 	((struct store_fixture *)user)->answers++;
 }
 
-static void queue_reply(struct store_fixture *fixture, const char *reply)
+static void queue_reply_with(struct store_fixture *fixture, const char *lines,
+			     const char *text)
 {
-	g_queue_push_tail(&fixture->replies, g_strdup(reply));
+	struct store_reply *reply = g_new0(struct store_reply, 1);
+
+	reply->lines = g_strdup(lines);
+	reply->text = g_strdup(text);
+	g_queue_push_tail(&fixture->replies, reply);
 	if (fixture->waiting)
 		reply_next(fixture, fixture->waiting);
 }
 
+static void queue_reply(struct store_fixture *fixture, const char *reply)
+{
+	queue_reply_with(fixture, NULL, reply);
+}
+
 static void fixture_open(struct store_fixture *fixture)
 {
 	struct http1_server_hooks hooks = {on_call, on_call_closed, NULL,
@@ -398,7 +423,7 @@
 	platform_store_destroy(fixture->store);
 	http1_server_destroy(fixture->server);
 	cs_counters_destroy(fixture->counters);
-	g_queue_clear_full(&fixture->replies, g_free);
+	g_queue_clear_full(&fixture->replies, free_reply);
 	g_string_free(fixture->calls, TRUE);
 	g_string_free(fixture->changes, TRUE);
 	net_destroy(&fixture->net);
@@ -672,6 +697,31 @@
 }
 END_TEST
 
+#define ERA(n) "Store-Era: " #n "\r\n"
+
+/* Guards against a change being dropped after the store came back from an older
+ * copy: its revision had been given to a change that is lost. */
+START_TEST(a_change_with_a_revision_of_a_lost_change_is_applied)
+{
+	struct store_fixture fixture;
+
+	fixture_open(&fixture);
+	queue_reply_with(&fixture, ERA(1),
+			 RANGE(ITEM("a", 63) "," ITEM("b", 5), 64, "false"));
+	queue_reply_with(&fixture, ERA(2), "410 ");
+	queue_reply_with(&fixture, ERA(2),
+			 RANGE(ITEM("a", 40) "," ITEM("b", 5), 40, "false"));
+	platform_store_set_direct_reading(fixture.store, true);
+	net_run_until_idle(&fixture.net);
+	g_string_truncate(fixture.changes, 0);
+	queue_reply_with(&fixture, ERA(2),
+			 EVENTS(ITEM("a", 63) "," TOMBSTONE("b", 64), 64));
+	net_run_until_idle(&fixture.net);
+	ck_assert_str_eq(fixture.changes->str, "+a -b ");
+	fixture_close(&fixture);
+}
+END_TEST
+
 UNIT_MAIN("platform", a_restarted_daemon_reads_no_stale_range,
 	  both_decoders_take_the_same_routes,
 	  a_configuration_is_decoded_into_routes,
@@ -684,4 +734,5 @@
 	  a_failed_call_is_retried, an_unanswered_watch_is_aborted_within_3_s,
 	  only_newer_pages_of_a_peer_are_applied,
 	  an_encoded_table_is_exported_in_place_of_the_value,
+	  a_change_with_a_revision_of_a_lost_change_is_applied,
 	  tombstones_are_dropped_over_the_limit)
