platform: Order changes by the store's history and its revision

What callers saw: after the store had come back from an older copy, a version that was acknowledged 4.5 s later was in force nowhere (CONFIG, then DENIED and HOME).

Cause: everything was ordered by the revision alone, which goes back with the copy and is given out again. Items of version 11 had revision 63, as the lost version 9 had; each seed dropped it. Views of peers with the old, higher number set readers back to it, which cost a 410 and a range with each watch.

Change: a position is the pair of history and revision, compared everywhere: items, tombstones, ranges of several pages, the watch, exports, compressed views, views of peers, the table's encoded copy. The header of each answer names the history. A later one voids the watch and a range that has begun, also without a 410; an earlier or malformed one drops the answer; none counts as the known history. A follower leaves a seed whose view is of an earlier history, and does not count it as a confirmation. A daemon of an older version names no history in its call and is answered by revisions as before.

Still open here: what is kept while the copy lacks confirmed changes.

--- a/include/cuminsail/forward.h
+++ b/include/cuminsail/forward.h
@@ -144,19 +144,41 @@
  */
 void forward_engine_view_changed(struct forward_engine *engine);
 
+/** A point in the source's sequence of changes. */
+struct forward_position {
+	gint64 history; /* rises when the source continues from an older copy:
+			 * revisions are then given out again; 0: it named none
+			 */
+	gint64 revision; /* of the last change; 0: none yet */
+};
+
+/**
+ * forward_position_compare - order two positions
+ * @a: a position
+ * @b: a position
+ *
+ * Return: negative, 0 or positive if @a is before, at or after @b. Any position
+ * of a later history is after all positions of an earlier one.
+ */
+int forward_position_compare(const struct forward_position *a,
+			     const struct forward_position *b);
+
 /** Supplies the routing view; only the source parses its documents. */
 struct forward_source {
 	/* direct: true to read the platform directly, false if a peer supplies
 	 * the updates. */
 	void (*set_direct_reading)(bool direct, void *user);
-	/* Return: the revision up to which all changes are known; 0 before the
-	 * first read. */
-	gint64 (*revision)(void *user);
-	/* Return: a new document with the changes after a revision, or with the
-	 * whole view for revision 0; NULL before the first read. */
-	json_t *(*export_changes)(gint64 after, void *user);
-	/* Applies the newer entries of a peer's document. */
-	void (*apply)(json_t *document, void *user);
+	/* Return: the position up to which all changes are known; its revision
+	 * is 0 before the first read. */
+	struct forward_position (*position)(void *user);
+	/* Return: a new document with the changes after a position, or with the
+	 * whole view for revision 0 or another history; NULL before the first
+	 * read. */
+	json_t *(*export_changes)(const struct forward_position *after,
+				  void *user);
+	/* Applies the newer entries of a peer's document.
+	 * Return: false if it is of an earlier history. */
+	bool (*apply)(json_t *document, void *user);
 	void *user;
 };
 
--- a/src/libforward/follow.c
+++ b/src/libforward/follow.c
@@ -221,12 +221,20 @@
 	follow->switched_us = forward_now(follow->engine);
 }
 
+/* The position up to which this daemon knows all changes; the call asks for
+ * later ones. Revision 0: no routing view yet. */
+static struct forward_position known_position(
+	const struct forward_follow *follow)
+{
+	return follow->source.position(follow->source.user);
+}
+
 /* Return: whether this daemon must read the platform if no seed is usable. */
 static bool needs_platform(const struct forward_follow *follow)
 {
 	gint64 now = forward_now(follow->engine);
 
-	if (!follow->source.revision(follow->source.user))
+	if (!known_position(follow).revision)
 		return now - follow->started_us >= START_GRACE_US;
 	return forward_view_age(follow->engine) >= DIRECT_READ_AGE_US;
 }
@@ -254,31 +262,34 @@
 }
 
 /* Applies the routing view of a seed's answer.
- * Return: false if the answer has one that cannot be decoded. */
-static bool apply_view(struct forward_follow *follow, json_t *document,
-		       gint64 age_us)
+ * Return: NULL, or why the answer's view is not usable. */
+static const char *apply_view(struct forward_follow *follow, json_t *document,
+			      gint64 age_us)
 {
 	const char *compressed =
 		json_string_value(json_object_get(document, "picture"));
 	g_autofree char *text = NULL;
 	g_autofree char *why = NULL;
 	json_t *view = NULL;
+	bool applied;
 
 	/* A seed that has just started has no routing view. */
 	if (!compressed)
-		return true;
+		return NULL;
 	text = cs_decompress_text(compressed, VIEW_BYTES_MAX, &why);
 	if (text)
 		view = cs_json_parse(text, strlen(text), &why);
 	if (!view) {
 		cs_log(LOG_WARNING, "picture-invalid", "why", why, NULL);
-		return false;
+		return "bad-answer";
 	}
-	follow->source.apply(view, follow->source.user);
+	applied = follow->source.apply(view, follow->source.user);
 	json_decref(view);
+	if (!applied)
+		return "earlier-history";
 	forward_engine_confirm_view(follow->engine,
 				    forward_now(follow->engine) - age_us);
-	return true;
+	return NULL;
 }
 
 /* Reads the daemon counts, the outliers and the age of the routing view, in
@@ -354,6 +365,7 @@
 {
 	struct forward_follow *follow = user;
 	json_t *document = NULL;
+	const char *unusable = "bad-answer";
 	gint64 age_us = 0;
 
 	follow->calling = false;
@@ -365,27 +377,21 @@
 		http1_client_close(client);
 		follow->client = NULL;
 	}
-	if (document && read_status(follow, document, &age_us) &&
-	    apply_view(follow, document, age_us)) {
+	if (document && read_status(follow, document, &age_us))
+		unusable = apply_view(follow, document, age_us);
+	if (unusable)
+		abandon_seed(follow, unusable);
+	else
 		schedule_next_call(follow, age_us);
-	} else {
-		abandon_seed(follow, "bad-answer");
-	}
 	json_decref(document);
 	return true;
 }
 
-/* The revision up to which this daemon knows all changes; the call asks for
- * later ones. 0: no routing view yet. */
-static gint64 known_revision(const struct forward_follow *follow)
-{
-	return follow->source.revision(follow->source.user);
-}
-
 static void arm_answer_timeout(struct forward_follow *follow)
 {
-	arm_timer(follow, known_revision(follow) ? ANSWER_TIMEOUT_US
-						 : FIRST_ANSWER_TIMEOUT_US);
+	arm_timer(follow, known_position(follow).revision
+				  ? ANSWER_TIMEOUT_US
+				  : FIRST_ANSWER_TIMEOUT_US);
 }
 
 static void on_connected(struct http1_client *client, void *user)
@@ -420,13 +426,15 @@
 	g_autofree char *zone =
 		g_uri_escape_string(settings->zone, NULL, FALSE);
 	char control[CS_ENDPOINT_TEXT_SIZE];
+	struct forward_position known = known_position(follow);
 	GString *head = g_string_new(NULL);
 
 	cs_endpoint_print(&settings->control, control);
 	g_string_printf(head,
 			"GET " FORWARD_FOLLOW_PATH
-			"control=%s&zone=%s&after=%" G_GINT64_FORMAT,
-			control, zone, known_revision(follow));
+			"control=%s&zone=%s&after=%" G_GINT64_FORMAT
+			"&history=%" G_GINT64_FORMAT,
+			control, zone, known.revision, known.history);
 	if (follow->is_seed)
 		append_followers(follow, head);
 	else
--- a/src/libforward/peers.c
+++ b/src/libforward/peers.c
@@ -20,7 +20,7 @@
  * the time between two calls of a daemon. */
 #define OUTLIERS_INTERVAL_US (250 * CS_US_PER_MS)
 
-/* Compressed views kept of one revision: one for each older revision that a
+/* Compressed views kept of one position: one for each older position that a
  * caller may still have. */
 #define COMPRESSED_VIEWS_MAX 8
 
@@ -43,7 +43,7 @@
 struct follower {
 	const char *zone;
 	guint32 hash; /* of the control address */
-	gint64 after; /* revision of the routing view */
+	struct forward_position after; /* of the routing view */
 	guint64 blocklist; /* fingerprint */
 	guint32 relays; /* fingerprint of the last list */
 };
@@ -66,10 +66,10 @@
 	struct cs_timer blocklist_timer; /* answers the held calls */
 	bool blocklist_changed; /* the timer is armed */
 	struct forward_source source;
-	/* Revision of the caller to compressed changes. Cached, because most
-	 * callers have one of a few revisions. */
+	/* Position of the caller, as text, to compressed changes. Cached,
+	 * because most callers have one of a few positions. */
 	GHashTable *compressed_views;
-	gint64 compressed_views_revision;
+	struct forward_position compressed_views_position;
 	/* The outliers among the replicas, cached for OUTLIERS_INTERVAL_US. */
 	char *outliers;
 	gint64 outliers_updated_us;
@@ -77,40 +77,59 @@
 
 /* ---- answers ---- */
 
-static gint64 local_revision(const struct forward_peers *peers)
+static struct forward_position local_position(const struct forward_peers *peers)
 {
 	const struct forward_source *source = &peers->source;
 
-	return source->revision ? source->revision(source->user) : 0;
+	return source->position ? source->position(source->user)
+				: (struct forward_position){0};
 }
 
-/* Return: the compressed changes after the revision @after, owned by @peers;
+/* Return: the position after which a caller lacks changes. A daemon of an older
+ * version names no history: it is taken to have the same. */
+static struct forward_position callers_position(
+	const struct forward_peers *peers, const struct follower *follower)
+{
+	struct forward_position after = follower->after;
+
+	if (after.history < 0)
+		after.history = local_position(peers).history;
+	return after;
+}
+
+/* Return: the compressed changes after the caller's position, owned by @peers;
  * NULL without a routing view. */
-static const char *compress_view(struct forward_peers *peers, gint64 after)
+static const char *compress_view(struct forward_peers *peers,
+				 const struct follower *follower)
 {
 	const struct forward_source *source = &peers->source;
-	gint64 revision = local_revision(peers);
+	struct forward_position local = local_position(peers);
+	struct forward_position after = callers_position(peers, follower);
+	g_autofree char *key =
+		g_strdup_printf("%" G_GINT64_FORMAT ":%" G_GINT64_FORMAT,
+				after.history, after.revision);
 	g_autofree char *text = NULL;
 	char *compressed;
 	json_t *view;
 
-	if (peers->compressed_views_revision != revision ||
+	if (forward_position_compare(&peers->compressed_views_position,
+				     &local) != 0 ||
 	    g_hash_table_size(peers->compressed_views) >= COMPRESSED_VIEWS_MAX)
 		g_hash_table_remove_all(peers->compressed_views);
-	peers->compressed_views_revision = revision;
-	compressed = g_hash_table_lookup(peers->compressed_views, &after);
+	peers->compressed_views_position = local;
+	compressed = g_hash_table_lookup(peers->compressed_views, key);
 	if (compressed)
 		return compressed;
 	view = source->export_changes
-		       ? source->export_changes(after, source->user)
+		       ? source->export_changes(&after, source->user)
 		       : NULL;
 	if (!view)
 		return NULL;
 	text = cs_json_print(view);
 	json_decref(view);
 	compressed = cs_compress_text(text);
-	g_hash_table_insert(peers->compressed_views,
-			    g_memdup2(&after, sizeof(after)), compressed);
+	g_hash_table_insert(peers->compressed_views, g_steal_pointer(&key),
+			    compressed);
 	return compressed;
 }
 
@@ -142,7 +161,7 @@
 			struct http1_exchange *exchange,
 			const struct follower *follower)
 {
-	const char *view = compress_view(peers, follower->after);
+	const char *view = compress_view(peers, follower);
 	guint in_zone =
 		forward_registry_count_in_zone(peers->registry, follower->zone);
 	GString *body = g_string_sized_new(view ? strlen(view) + 256 : 256);
@@ -199,24 +218,31 @@
 				     offsetof(struct held_call, timer)));
 }
 
-static bool has_update(const struct forward_peers *peers, gint64 after)
+static bool has_update(const struct forward_peers *peers,
+		       const struct follower *follower)
 {
-	gint64 revision = local_revision(peers);
+	struct forward_position local = local_position(peers);
+	struct forward_position after = callers_position(peers, follower);
 
-	return revision && (after <= 0 || after < revision);
+	return local.revision && (after.revision <= 0 ||
+				  forward_position_compare(&after, &local) < 0);
 }
 
 /* Return: how long a call may be held, in microseconds; 0 if the caller lacks a
- * change or the routing view is outdated. */
+ * change, or the routing view is outdated or of an earlier history than the
+ * caller's. */
 static gint64 hold_period(const struct forward_peers *peers,
 			  const struct follower *follower)
 {
 	gint64 until_late_us =
 		FORWARD_VIEW_LATE_US - forward_view_age(peers->engine);
 
-	if (!local_revision(peers))
+	struct forward_position local = local_position(peers);
+
+	if (!local.revision)
 		return HOLD_EMPTY_US;
-	if (has_update(peers, follower->after))
+	if (has_update(peers, follower) ||
+	    follower->after.history > local.history)
 		return 0;
 	return CLAMP(until_late_us, 0,
 		     has_other_blocklist(peers, follower) ? HOLD_BLOCKLIST_US
@@ -255,7 +281,7 @@
 
 	for (call = TAILQ_FIRST(&peers->held_calls); call; call = next) {
 		next = TAILQ_NEXT(call, link);
-		if (has_update(peers, call->follower.after))
+		if (has_update(peers, &call->follower))
 			answer_held_call(call);
 	}
 }
@@ -296,6 +322,7 @@
 	const char *control = NULL;
 	const char *zone = NULL;
 	const char *after = NULL;
+	const char *history = NULL;
 	const char *seen = NULL;
 	const char *limits = NULL;
 	const char *blocked = NULL;
@@ -312,6 +339,7 @@
 		control = g_hash_table_lookup(parameters, "control");
 		zone = g_hash_table_lookup(parameters, "zone");
 		after = g_hash_table_lookup(parameters, "after");
+		history = g_hash_table_lookup(parameters, "history");
 		seen = g_hash_table_lookup(parameters, "seen");
 		limits = g_hash_table_lookup(parameters, "limits");
 		blocked = g_hash_table_lookup(parameters, "blocked");
@@ -343,7 +371,8 @@
 			forward_blocklist_merge(peers->engine, blocked);
 	follower.zone = zone;
 	follower.hash = g_str_hash(control);
-	follower.after = strtoll(after, NULL, 10);
+	follower.after.revision = strtoll(after, NULL, 10);
+	follower.after.history = history ? strtoll(history, NULL, 10) : -1;
 	answer_or_hold(
 		peers, exchange, &follower,
 		known != route_blocklist_fingerprint(peers->engine->blocklist));
@@ -366,8 +395,8 @@
 	hooks.user = peers;
 	peers->engine = engine;
 	peers->registry = engine->registry;
-	peers->compressed_views = g_hash_table_new_full(
-		g_int64_hash, g_int64_equal, g_free, g_free);
+	peers->compressed_views =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	TAILQ_INIT(&peers->held_calls);
 	peers->blocklist_timer.fire = on_blocklist_delay;
 	if (engine->settings->control.sin_port)
--- a/src/libforward/state.c
+++ b/src/libforward/state.c
@@ -20,6 +20,18 @@
 	return text;
 }
 
+static int compare(gint64 a, gint64 b)
+{
+	return a < b ? -1 : a > b;
+}
+
+int forward_position_compare(const struct forward_position *a,
+			     const struct forward_position *b)
+{
+	return a->history != b->history ? compare(a->history, b->history)
+					: compare(a->revision, b->revision);
+}
+
 gint64 forward_view_age(const struct forward_engine *engine)
 {
 	return forward_now(engine) - engine->view_confirmed_us;
--- a/test/unit/daemon.c
+++ b/test/unit/daemon.c
@@ -10,28 +10,41 @@
 	((struct daemon *)user)->direct = direct;
 }
 
-static gint64 revision(void *user)
+static struct forward_position position(void *user)
 {
-	return ((struct daemon *)user)->revision;
+	const struct daemon *daemon = user;
+
+	return (struct forward_position){daemon->history, daemon->revision};
 }
 
-static json_t *export_changes(gint64 after, void *user)
+static json_t *export_changes(const struct forward_position *after, void *user)
 {
 	struct daemon *daemon = user;
 
-	return daemon->revision ? json_pack("{s:I, s:I}", "revision",
-					    (json_int_t)daemon->revision,
-					    "after", (json_int_t)after)
-				: NULL;
+	return daemon->revision
+		       ? json_pack("{s:I, s:I, s:I}", "history",
+				   (json_int_t)daemon->history, "revision",
+				   (json_int_t)daemon->revision, "after",
+				   (json_int_t)after->revision)
+		       : NULL;
 }
 
-static void apply(json_t *document, void *user)
+static bool apply(json_t *document, void *user)
 {
 	struct daemon *daemon = user;
-	gint64 received =
-		json_integer_value(json_object_get(document, "revision"));
+	struct forward_position known = position(daemon);
+	struct forward_position received = {
+		json_integer_value(json_object_get(document, "history")),
+		json_integer_value(json_object_get(document, "revision")),
+	};
 
-	daemon->revision = MAX(daemon->revision, received);
+	if (received.history < known.history)
+		return false;
+	if (forward_position_compare(&received, &known) > 0) {
+		daemon->history = received.history;
+		daemon->revision = received.revision;
+	}
+	return true;
 }
 
 static void on_stopped(void *user)
@@ -42,7 +55,7 @@
 void daemon_start(struct net *net, struct daemon *daemon, guint number,
 		  const char *zone)
 {
-	struct forward_source source = {set_direct_reading, revision,
+	struct forward_source source = {set_direct_reading, position,
 					export_changes, apply, daemon};
 	struct forward_settings *settings = &daemon->settings;
 
--- a/test/unit/daemon.h
+++ b/test/unit/daemon.h
@@ -4,10 +4,11 @@
 
 #include "net.h"
 
-/* A daemon whose source has a routing view that consists of a revision only. */
+/* A daemon whose source has a routing view that consists of a position only. */
 struct daemon {
 	struct forward_settings settings;
 	struct forward_engine *engine;
+	gint64 history;
 	gint64 revision;
 	bool direct; /* the platform is read directly */
 	bool stopped; /* its graceful stop has finished */
--- a/test/unit/test_follow.c
+++ b/test/unit/test_follow.c
@@ -61,6 +61,40 @@
 }
 END_TEST
 
+/* Guards against a follower keeping, or going back to, a history that is lost:
+ * the store came back from an older copy, with lower revisions, and one seed
+ * does not know of it. */
+START_TEST(a_follower_leaves_a_seed_of_an_earlier_history)
+{
+	for (guint current = 0; current < SEEDS; current++) {
+		struct net net = net_create();
+		struct daemon seeds[SEEDS];
+		struct daemon follower;
+
+		for (guint i = 0; i < SEEDS; i++) {
+			daemon_start(&net, &seeds[i], i, i ? "b" : "a");
+			seeds[i].history = 1;
+			daemon_confirm_view(&net, &seeds[i], 63);
+		}
+		daemon_start(&net, &follower, 2, "a");
+		net_advance(&net, 300);
+		ck_assert_int_eq(follower.revision, 63);
+		seeds[current].history = 2;
+		seeds[current].revision = 0;
+		daemon_confirm_view(&net, &seeds[current], 40);
+		net_advance(&net, 2500);
+		ck_assert_int_eq(follower.history, 2);
+		ck_assert_int_eq(follower.revision, 40);
+		/* The seeds tell each other. */
+		ck_assert_int_eq(seeds[!current].history, 2);
+		for (guint i = 0; i < SEEDS; i++)
+			daemon_stop(&seeds[i]);
+		daemon_stop(&follower);
+		net_destroy(&net);
+	}
+}
+END_TEST
+
 /* If all seeds are down or late, a follower reads the platform directly, early
  * enough for a change to be in force within 3 s. */
 START_TEST(without_a_usable_seed_the_platform_is_read_in_time)
@@ -657,6 +691,7 @@
 
 UNIT_MAIN("follow", a_daemon_follows_a_seed_and_does_not_read_the_platform,
 	  a_follower_switches_from_a_late_seed_to_a_current_one,
+	  a_follower_leaves_a_seed_of_an_earlier_history,
 	  without_a_usable_seed_the_platform_is_read_in_time,
 	  a_daemon_without_a_view_soon_reads_the_platform,
 	  a_seed_holds_calls_until_its_first_view,
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -363,9 +363,26 @@
 }
 
 /* The encoded table of key "a" at revision 3. */
-static const char *encoded_table(const char *key, gint64 revision, void *user)
+static const char *encoded_table(const char *key,
+				 const struct forward_position *position,
+				 void *user)
 {
-	return !strcmp(key, "a") && revision == 3 ? "T" : NULL;
+	return !strcmp(key, "a") && position->revision == 3 ? "T" : NULL;
+}
+
+static gint64 known_revision(const struct store_fixture *fixture)
+{
+	return platform_store_position(fixture->store).revision;
+}
+
+/* Return: the changes after a revision of the reader's history. */
+static json_t *export_after(const struct store_fixture *fixture,
+			    gint64 revision)
+{
+	struct forward_position after = platform_store_position(fixture->store);
+
+	after.revision = revision;
+	return platform_store_export(fixture->store, &after);
 }
 
 static void on_batch_done(void *user)
@@ -459,7 +476,7 @@
 	ck_assert_ptr_nonnull(strstr(fixture.calls->str,
 				     "kv-watch?prefix=&after="
 				     "10&"));
-	ck_assert_int_eq(platform_store_revision(fixture.store), 13);
+	ck_assert_int_eq(known_revision(&fixture), 13);
 	/* After changes the next watch is delayed by 250 ms, because changes
 	 * come in groups. */
 	net_advance(&fixture.net, 300);
@@ -605,11 +622,11 @@
 	queue_reply(&fixture, EVENTS(TOMBSTONE("a", 12), 12));
 	platform_store_set_direct_reading(fixture.store, true);
 	net_run_until_idle(&fixture.net);
-	page = decode_export(platform_store_export(fixture.store, 10));
+	page = decode_export(export_after(&fixture, 10));
 	ck_assert(!page->is_range);
 	ck_assert_uint_eq(page->items->len, 1);
 	platform_page_destroy(page);
-	page = decode_export(platform_store_export(fixture.store, 0));
+	page = decode_export(export_after(&fixture, 0));
 	ck_assert(page->is_range);
 	ck_assert_uint_eq(page->items->len, 1);
 	/* The same page again, and an older one, change nothing. */
@@ -618,13 +635,13 @@
 	page->revision = 5;
 	platform_store_apply(fixture.store, page);
 	ck_assert_str_eq(fixture.changes->str, "");
-	ck_assert_int_eq(platform_store_revision(fixture.store), 12);
+	ck_assert_int_eq(known_revision(&fixture), 12);
 	/* A newer range without "b" removes it. */
 	page->revision = 20;
 	g_ptr_array_set_size(page->items, 0);
 	platform_store_apply(fixture.store, page);
 	ck_assert_str_eq(fixture.changes->str, "-b ");
-	ck_assert_int_eq(platform_store_revision(fixture.store), 20);
+	ck_assert_int_eq(known_revision(&fixture), 20);
 	platform_page_destroy(page);
 	fixture_close(&fixture);
 }
@@ -643,7 +660,7 @@
 		    RANGE(ITEM("a", 3) "," ITEM("b", 4), 10, "false"));
 	platform_store_set_direct_reading(fixture.store, true);
 	net_run_until_idle(&fixture.net);
-	page = decode_export(platform_store_export(fixture.store, 0));
+	page = decode_export(export_after(&fixture, 0));
 	fixture_close(&fixture);
 	/* A daemon that follows applies it and exports it as well. */
 	fixture_open(&fixture);
@@ -652,7 +669,7 @@
 	ck_assert_ptr_nonnull(strstr(fixture.changes->str, "Ta "));
 	ck_assert_ptr_nonnull(strstr(fixture.changes->str, "+b "));
 	g_string_truncate(fixture.changes, 0);
-	page = decode_export(platform_store_export(fixture.store, 0));
+	page = decode_export(export_after(&fixture, 0));
 	ck_assert_uint_eq(page->items->len, 2);
 	/* The key is known, so a range without it removes it. */
 	page->revision = 20;
@@ -685,11 +702,11 @@
 	platform_store_set_direct_reading(fixture.store, true);
 	net_run_until_idle(&fixture.net);
 	/* Changes since an earlier revision are exported as all keys. */
-	page = decode_export(platform_store_export(fixture.store, 10));
+	page = decode_export(export_after(&fixture, 10));
 	ck_assert(page->is_range);
 	ck_assert_uint_eq(page->items->len, 1);
 	platform_page_destroy(page);
-	page = decode_export(platform_store_export(fixture.store, 11 + n));
+	page = decode_export(export_after(&fixture, 11 + n));
 	ck_assert(!page->is_range);
 	ck_assert_uint_eq(page->items->len, 0);
 	platform_page_destroy(page);
@@ -722,6 +739,138 @@
 }
 END_TEST
 
+/* Guards against what differs being missed when the store's new history has
+ * passed the revision that the watch waits for: there is no 410 then. */
+START_TEST(another_history_is_noticed_without_a_410)
+{
+	struct store_fixture fixture;
+
+	fixture_open(&fixture);
+	queue_reply_with(&fixture, ERA(1),
+			 RANGE(ITEM("a", 3) "," ITEM("b", 4), 10, "false"));
+	queue_reply_with(&fixture, ERA(2), EVENTS(ITEM("c", 12), 12));
+	queue_reply_with(&fixture, ERA(2),
+			 RANGE(ITEM("b", 9) "," ITEM("c", 12), 12, "false"));
+	platform_store_set_direct_reading(fixture.store, true);
+	net_run_until_idle(&fixture.net);
+	ck_assert_str_eq(fixture.changes->str, "+a +b +b +c -a ");
+	ck_assert_int_eq(platform_store_position(fixture.store).history, 2);
+	fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against a view that mixes two histories: the store came back from an
+ * older copy between two pages of a range. */
+START_TEST(a_range_that_spans_two_histories_is_read_again)
+{
+	struct store_fixture fixture;
+
+	fixture_open(&fixture);
+	queue_reply_with(&fixture, ERA(1), RANGE(ITEM("a", 3), 10, "true"));
+	queue_reply_with(&fixture, ERA(2), RANGE(ITEM("c", 2), 5, "false"));
+	queue_reply_with(&fixture, ERA(2), RANGE(ITEM("b", 2), 5, "true"));
+	queue_reply_with(&fixture, ERA(2), RANGE(ITEM("c", 2), 5, "false"));
+	platform_store_set_direct_reading(fixture.store, true);
+	net_run_until_idle(&fixture.net);
+	ck_assert_str_eq(fixture.changes->str, "+a +b +c -a ");
+	ck_assert_uint_eq(fixture.answers, 1);
+	fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against the lost history being taken up again, and against a header
+ * that is no number voiding what is known. */
+START_TEST(answers_of_an_earlier_history_are_dropped)
+{
+	static const struct {
+		const char *lines;
+		bool applied;
+	} cases[] = {
+		{ERA(7), true},
+		{NULL, true}, /* a store that names no era */
+		{ERA(6), false},
+		{ERA(0), false},
+		{ERA(-7), false},
+		{ERA(+7), false},
+		{ERA(7.0), false},
+		{ERA(7x), false},
+		{"Store-Era:\r\n", false},
+		{ERA(9999999999999999999999), false},
+		{ERA(7) ERA(7), false},
+		{ERA(7) ERA(8), false},
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct store_fixture fixture;
+		bool applied;
+
+		fixture_open(&fixture);
+		queue_reply_with(&fixture, ERA(7),
+				 RANGE(ITEM("a", 3), 10, "false"));
+		queue_reply_with(&fixture, cases[i].lines,
+				 EVENTS(ITEM("b", 30), 30));
+		platform_store_set_direct_reading(fixture.store, true);
+		net_run_until_idle(&fixture.net);
+		applied = known_revision(&fixture) == 30;
+		ck_assert_msg(applied == cases[i].applied, "case %zu", i);
+		ck_assert_msg(fixture.answers == 1 + (guint)applied, "case %zu",
+			      i);
+		ck_assert_int_eq(platform_store_position(fixture.store).history,
+				 7);
+		/* The reader goes on. */
+		net_advance(&fixture.net, 700);
+		queue_reply_with(&fixture, ERA(7), EVENTS(ITEM("c", 31), 31));
+		net_run_until_idle(&fixture.net);
+		ck_assert_msg(known_revision(&fixture) == 31, "case %zu", i);
+		fixture_close(&fixture);
+	}
+}
+END_TEST
+
+/* Guards against a daemon taking up the lost history from a peer, or keeping it
+ * although a peer has the new one, whose revisions are lower. */
+START_TEST(the_later_history_of_two_daemons_wins)
+{
+	static const struct {
+		gint64 history;
+		gint64 revision;
+		bool usable;
+		const char *changes;
+	} cases[] = {
+		{1, 90, false, ""},
+		{0, 90, false, ""}, /* an older build names none */
+		{2, 10, true, ""},
+		{2, 11, true, "+b -a "},
+		{3, 4, true, "+b -a "},
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct store_fixture fixture;
+		g_autofree char *text = g_strdup_printf(
+			"{\"items\":[" ITEM(
+				"b", 2) "],\"storeRevision\":%" G_GINT64_FORMAT
+					",\"history\":%" G_GINT64_FORMAT "}",
+			cases[i].revision, cases[i].history);
+		struct platform_page *page;
+
+		fixture_open(&fixture);
+		queue_reply_with(&fixture, ERA(2),
+				 RANGE(ITEM("a", 3), 10, "false"));
+		platform_store_set_direct_reading(fixture.store, true);
+		net_run_until_idle(&fixture.net);
+		g_string_truncate(fixture.changes, 0);
+		page = decode_export(cs_json_parse(text, strlen(text), NULL));
+		ck_assert_msg(platform_store_apply(fixture.store, page) ==
+				      cases[i].usable,
+			      "case %zu", i);
+		ck_assert_msg(!strcmp(fixture.changes->str, cases[i].changes),
+			      "case %zu: %s", i, fixture.changes->str);
+		platform_page_destroy(page);
+		fixture_close(&fixture);
+	}
+}
+END_TEST
+
 UNIT_MAIN("platform", a_restarted_daemon_reads_no_stale_range,
 	  both_decoders_take_the_same_routes,
 	  a_configuration_is_decoded_into_routes,
@@ -735,4 +884,8 @@
 	  only_newer_pages_of_a_peer_are_applied,
 	  an_encoded_table_is_exported_in_place_of_the_value,
 	  tombstones_are_dropped_over_the_limit,
-	  a_change_with_a_revision_of_a_lost_change_is_applied)
+	  a_change_with_a_revision_of_a_lost_change_is_applied,
+	  another_history_is_noticed_without_a_410,
+	  a_range_that_spans_two_histories_is_read_again,
+	  answers_of_an_earlier_history_are_dropped,
+	  the_later_history_of_two_daemons_wins)
