--- a/include/cuminsail/forward.h
+++ b/include/cuminsail/forward.h
@@ -128,6 +128,16 @@
 void forward_engine_set_table(struct forward_engine *engine,
 			      struct route_table *table);
 
+/**
+ * forward_engine_replace_table - install routes whatever their version
+ * @engine: an engine
+ * @table: the engine takes a reference
+ *
+ * For a version that takes the place of one that its source has lost.
+ */
+void forward_engine_replace_table(struct forward_engine *engine,
+				  struct route_table *table);
+
 /**
  * forward_engine_confirm_view - record that the routing view was current at a
  * time
--- a/src/libforward/engine.c
+++ b/src/libforward/engine.c
@@ -124,6 +124,21 @@
 	active->idle_timeout_us = limits->idle_timeout_ms * CS_US_PER_MS;
 }
 
+void forward_engine_replace_table(struct forward_engine *engine,
+				  struct route_table *table)
+{
+	char version[32];
+
+	g_snprintf(version, sizeof(version), "%" G_GINT64_FORMAT,
+		   table->version);
+	route_table_unref(engine->table);
+	engine->table = route_table_ref(table);
+	route_fleet_set_table(engine->fleet, table);
+	apply_limits(engine, &table->limits);
+	cs_counters_add(engine->counters, CS_N_CONFIG_ACCEPTED, 1);
+	cs_log(LOG_NOTICE, "table-taken", "version", version, NULL);
+}
+
 void forward_engine_set_table(struct forward_engine *engine,
 			      struct route_table *table)
 {
@@ -137,12 +152,7 @@
 		       "not-newer", NULL);
 		return;
 	}
-	route_table_unref(engine->table);
-	engine->table = route_table_ref(table);
-	route_fleet_set_table(engine->fleet, table);
-	apply_limits(engine, &table->limits);
-	cs_counters_add(engine->counters, CS_N_CONFIG_ACCEPTED, 1);
-	cs_log(LOG_NOTICE, "table-taken", "version", version, NULL);
+	forward_engine_replace_table(engine, table);
 }
 
 void forward_engine_set_source(struct forward_engine *engine,
--- /dev/null
+++ b/test/unit/test_restored.c
@@ -0,0 +1,273 @@
+/* What a daemon keeps and takes after the store came back from an older copy.
+ */
+#include "daemon.h"
+#include "fake_store.h"
+#include "unit.h"
+
+#include "cuminsail/compress.h"
+#include "platform_adapter.h"
+
+#include <string.h>
+
+enum { STORE = 60 };
+
+/* A daemon that reads the store, and one replica of each of the services "x"
+ * and "y" in zone "a", "x" also in zone "b". */
+struct fixture {
+	struct net net;
+	struct fake_store store;
+	struct daemon daemon;
+	struct platform_feed *feed;
+};
+
+/* Writes version @version of the configuration, which routes "/" to @service.
+ */
+static void write_version(struct fixture *fixture, int version,
+			  const char *service)
+{
+	g_autofree char *text = g_strdup_printf(
+		"{\"version\":%d,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+		"\"prefix\":\"/\",\"routeType\":\"idempotent\","
+		"\"timeoutMs\":1500,\"service\":\"%s\"}],\"services\":["
+		"{\"name\":\"x\",\"maxConnections\":9},"
+		"{\"name\":\"y\",\"maxConnections\":9}]}",
+		version, service);
+
+	fake_store_write(&fixture->store, "op/config", text);
+	net_advance(&fixture->net, 300);
+}
+
+static void write_replica(struct fixture *fixture, const char *id,
+			  const char *service, const char *zone,
+			  const char *state, int sequence)
+{
+	g_autofree char *key = g_strdup_printf("servers/%s", id);
+	g_autofree char *text = g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
+		"\"zone\":\"%s\",\"version\":\"v\",\"slots\":3,"
+		"\"state\":\"%s\",\"warmupLeftMs\":0,\"sequence\":%d}",
+		service, g_str_hash(id) % 60000 + 1, zone, state, sequence);
+
+	fake_store_write(&fixture->store, key, text);
+	net_advance(&fixture->net, 300);
+}
+
+static void fixture_open(struct fixture *fixture)
+{
+	memset(fixture, 0, sizeof(*fixture));
+	fixture->net = net_create();
+	cs_clock_advance(fixture->net.clock, 100 * CS_US_PER_S);
+	fake_store_open(&fixture->store, &fixture->net, STORE);
+	daemon_start_alone(&fixture->net, &fixture->daemon, "a");
+	write_replica(fixture, "x1", "x", "a", "ready", 1);
+	write_replica(fixture, "x2", "x", "b", "ready", 1);
+	write_replica(fixture, "y1", "y", "a", "ready", 1);
+	write_version(fixture, 4, "x");
+	fixture->daemon.settings.platform = net_address(STORE);
+	fixture->feed = platform_feed_create(fixture->net.loop,
+					     &fixture->daemon.settings.platform,
+					     fixture->daemon.engine);
+	net_advance(&fixture->net, 300);
+}
+
+static void fixture_close(struct fixture *fixture)
+{
+	daemon_stop(&fixture->daemon);
+	platform_feed_destroy(fixture->feed);
+	fake_store_close(&fixture->store);
+	net_destroy(&fixture->net);
+}
+
+/* Return: the configuration of an exported item. */
+static struct route_table *decode_item(const struct platform_item *item)
+{
+	const char *base64 =
+		item->encoded_table ? item->encoded_table : item->value;
+	gsize length;
+	guchar *raw = g_base64_decode(base64, &length);
+	g_autoptr(GBytes) bytes = g_bytes_new_take(raw, length);
+	struct route_table *table;
+	json_t *document;
+	int error;
+
+	if (item->encoded_table)
+		return route_table_decode(bytes);
+	document = platform_decode_value(item->value, NULL);
+	table = platform_decode_table(document, &error, NULL);
+	json_decref(document);
+	return table;
+}
+
+/* Return: the answer of one of the daemon's addresses. */
+static char *ask(struct fixture *fixture, const struct sockaddr_in *address,
+		 const char *target)
+{
+	struct net_client *client = net_connect(&fixture->net, address);
+	g_autofree char *text =
+		g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", target);
+	char *answer;
+
+	net_send(client, text);
+	net_run_until_idle(&fixture->net);
+	net_read(client);
+	answer = g_strdup(client->received->str);
+	net_close(client);
+	return answer;
+}
+
+/* Return: the version in force. */
+static gint64 version(struct fixture *fixture)
+{
+	g_autofree char *metrics =
+		ask(fixture, &fixture->daemon.settings.metrics, "/metrics");
+	const char *line = strstr(metrics, "\ncuminsail_table_version ");
+
+	ck_assert_ptr_nonnull(line);
+	return g_ascii_strtoll(strchr(line + 1, ' '), NULL, 10);
+}
+
+/* Return: the routing view that the daemon gives to a peer that has none. */
+static struct platform_page *view(struct fixture *fixture)
+{
+	g_autofree char *answer =
+		ask(fixture, &fixture->daemon.settings.control,
+		    "/v1/follow?control=127.0.0.1:9&zone=a&after=0&history=0");
+	const char *body = strstr(answer, "\r\n\r\n");
+	json_t *document = cs_json_parse(body + 4, strlen(body + 4), NULL);
+	const char *compressed =
+		json_string_value(json_object_get(document, "picture"));
+	g_autofree char *text = NULL;
+	struct platform_page *page;
+	json_t *json;
+
+	ck_assert_ptr_nonnull(compressed);
+	text = cs_decompress_text(compressed, 1000000, NULL);
+	json_decref(document);
+	json = cs_json_parse(text, strlen(text), NULL);
+	page = platform_decode_page(json, NULL);
+	json_decref(json);
+	ck_assert_ptr_nonnull(page);
+	return page;
+}
+
+static const struct platform_item *find_item(const struct platform_page *page,
+					     const char *key)
+{
+	for (guint i = 0; i < page->items->len; i++) {
+		const struct platform_item *item = page->items->pdata[i];
+
+		if (!strcmp(item->key, key))
+			return item;
+	}
+	return NULL;
+}
+
+/* Checks the version in force, the one that peers get, and where it routes to.
+ */
+static void check_version(struct fixture *fixture, gint64 expected,
+			  const char *service)
+{
+	struct platform_page *page = view(fixture);
+	const struct platform_item *item = find_item(page, "op/config");
+	struct route_table *table;
+	const struct route *route;
+
+	ck_assert_int_eq(version(fixture), expected);
+	ck_assert_ptr_nonnull(item);
+	table = decode_item(item);
+	ck_assert_ptr_nonnull(table);
+	ck_assert_int_eq(table->version, expected);
+	route = route_table_find(table, "h", "/1");
+	ck_assert_str_eq(route->service, service);
+	route_table_unref(table);
+	platform_page_destroy(page);
+}
+
+/* Guards against a confirmed version being followed by an older one: the copy
+ * has version 4, and the lost versions are written again one after the other.
+ */
+START_TEST(the_copys_older_version_does_not_replace_a_confirmed_one)
+{
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	fake_store_copy(&fixture.store);
+	write_version(&fixture, 6, "x");
+	write_version(&fixture, 9, "y");
+	fake_store_restore(&fixture.store);
+	net_advance(&fixture.net, 500);
+	check_version(&fixture, 9, "y");
+	write_version(&fixture, 6, "x");
+	check_version(&fixture, 9, "y");
+	write_version(&fixture, 9, "y");
+	net_advance(&fixture.net, 70000);
+	check_version(&fixture, 9, "y");
+	write_version(&fixture, 11, "x");
+	check_version(&fixture, 11, "x");
+	fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against a version that was given out again being ignored because a
+ * lost one had its number. */
+START_TEST(a_number_of_a_lost_version_may_name_other_content)
+{
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	fake_store_copy(&fixture.store);
+	write_version(&fixture, 9, "x");
+	fake_store_restore(&fixture.store);
+	write_version(&fixture, 9, "y");
+	check_version(&fixture, 9, "y");
+	fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against a lost version staying in force for ever although the operator
+ * gave it up. */
+START_TEST(a_lost_version_that_is_not_written_again_ends)
+{
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	fake_store_copy(&fixture.store);
+	write_version(&fixture, 9, "y");
+	fake_store_restore(&fixture.store);
+	write_version(&fixture, 5, "x");
+	net_advance(&fixture.net, 20000);
+	check_version(&fixture, 9, "y");
+	net_advance(&fixture.net, 50000);
+	check_version(&fixture, 5, "x");
+	write_version(&fixture, 6, "y");
+	check_version(&fixture, 6, "y");
+	fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against an invalid version being taken, or the last good one being
+ * dropped, when the invalid one is written again. */
+START_TEST(an_invalid_version_that_is_written_again_is_refused_again)
+{
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	fake_store_copy(&fixture.store);
+	write_version(&fixture, 9, "y");
+	fake_store_write(&fixture.store, "op/config", "{\"version\":10}");
+	net_advance(&fixture.net, 300);
+	fake_store_restore(&fixture.store);
+	net_advance(&fixture.net, 300);
+	fake_store_write(&fixture.store, "op/config", "{\"version\":10}");
+	net_advance(&fixture.net, 300);
+	check_version(&fixture, 9, "y");
+	write_version(&fixture, 10, "x");
+	check_version(&fixture, 10, "x");
+	fixture_close(&fixture);
+}
+END_TEST
+
+UNIT_MAIN("restored", the_copys_older_version_does_not_replace_a_confirmed_one,
+	  a_number_of_a_lost_version_may_name_other_content,
+	  a_lost_version_that_is_not_written_again_ends,
+	  an_invalid_version_that_is_written_again_is_refused_again)
