platform: Keep an evacuation that the store's copy lacks

What callers would see: requests to a zone that operators took out, until the evacuation is written again (EVAC).

Cause: a key that a complete range does not contain counted as removed, also if the range may be older than the key.

Change: the end of an evacuation is taken from a removal that the store reports in its new history, or, if the evacuation is not written again, 60 s after the return. An evacuation that the copy lists counts at once, although it may have ended: a zone that is out for too long costs room, the other mistake breaks a promise.

Evidence: test_restored, three tests; the first fails before with "!is_usable(&fixture, "x2")" after the range of the copy.

--- a/test/unit/test_restored.c
+++ b/test/unit/test_restored.c
@@ -183,6 +183,35 @@
 	platform_page_destroy(page);
 }
 
+/* Return: whether a request may be sent to a replica now. */
+static bool is_usable(struct fixture *fixture, const char *id)
+{
+	struct route_fleet *fleet =
+		forward_engine_fleet(fixture->daemon.engine);
+	gint64 now = cs_clock_now(fixture->net.clock);
+
+	/* Each of at most five is found with near certainty. */
+	for (int i = 0; i < 200; i++) {
+		const struct route_replica *replica =
+			route_fleet_random_other(fleet, NULL, now);
+
+		if (replica && !strcmp(replica->id, id))
+			return true;
+	}
+	return false;
+}
+
+/* Return: whether peers get a key. */
+static bool is_exported(struct fixture *fixture, const char *key)
+{
+	struct platform_page *page = view(fixture);
+	const struct platform_item *item = find_item(page, key);
+	bool exported = item && !platform_item_removed(item);
+
+	platform_page_destroy(page);
+	return exported;
+}
+
 /* Guards against a confirmed version being followed by an older one: the copy
  * has version 4, and the lost versions are written again one after the other.
  */
@@ -267,7 +296,79 @@
 }
 END_TEST
 
+/* Guards against requests to a zone that was taken out: the copy lacks the
+ * operator's confirmed evacuation. */
+START_TEST(an_evacuation_that_the_copy_lacks_stays_until_it_is_ended)
+{
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	fake_store_copy(&fixture.store);
+	fake_store_write(&fixture.store, "op/evacuate/b", "{}");
+	net_advance(&fixture.net, 300);
+	ck_assert(!is_usable(&fixture, "x2"));
+	fake_store_restore(&fixture.store);
+	net_advance(&fixture.net, 20000);
+	ck_assert(!is_usable(&fixture, "x2"));
+	ck_assert(is_exported(&fixture, "op/evacuate/b"));
+	/* Written again, and ended by the operator. */
+	fake_store_write(&fixture.store, "op/evacuate/b", "{}");
+	net_advance(&fixture.net, 60000);
+	ck_assert(!is_usable(&fixture, "x2"));
+	fake_store_write(&fixture.store, "op/evacuate/b", NULL);
+	net_advance(&fixture.net, 300);
+	ck_assert(is_usable(&fixture, "x2"));
+	ck_assert(!is_exported(&fixture, "op/evacuate/b"));
+	fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against a zone staying out for ever although the operator gave its
+ * lost evacuation up. */
+START_TEST(an_evacuation_that_is_not_written_again_ends)
+{
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	fake_store_copy(&fixture.store);
+	fake_store_write(&fixture.store, "op/evacuate/b", "{}");
+	net_advance(&fixture.net, 300);
+	fake_store_restore(&fixture.store);
+	net_advance(&fixture.net, 50000);
+	ck_assert(!is_usable(&fixture, "x2"));
+	net_advance(&fixture.net, 20000);
+	ck_assert(is_usable(&fixture, "x2"));
+	fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against requests to a zone that the store lists as taken out: the end
+ * of the evacuation is lost. */
+START_TEST(an_evacuation_in_the_copy_counts_until_it_is_ended_again)
+{
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	fake_store_write(&fixture.store, "op/evacuate/b", "{}");
+	net_advance(&fixture.net, 300);
+	fake_store_copy(&fixture.store);
+	fake_store_write(&fixture.store, "op/evacuate/b", NULL);
+	net_advance(&fixture.net, 300);
+	ck_assert(is_usable(&fixture, "x2"));
+	fake_store_restore(&fixture.store);
+	net_advance(&fixture.net, 300);
+	ck_assert(!is_usable(&fixture, "x2"));
+	fake_store_write(&fixture.store, "op/evacuate/b", NULL);
+	net_advance(&fixture.net, 300);
+	ck_assert(is_usable(&fixture, "x2"));
+	fixture_close(&fixture);
+}
+END_TEST
+
 UNIT_MAIN("restored", the_copys_older_version_does_not_replace_a_confirmed_one,
 	  a_number_of_a_lost_version_may_name_other_content,
 	  a_lost_version_that_is_not_written_again_ends,
-	  an_invalid_version_that_is_written_again_is_refused_again)
+	  an_invalid_version_that_is_written_again_is_refused_again,
+	  an_evacuation_that_the_copy_lacks_stays_until_it_is_ended,
+	  an_evacuation_that_is_not_written_again_ends,
+	  an_evacuation_in_the_copy_counts_until_it_is_ended_again)
