route: Send nothing to a replica because an older copy of the list has it

What callers would see: requests to replicas that leave or have gone, listed as ready again by the copy (DRAIN); requests in a burst to one that is cold by its later entry (FAILBACK).

Cause: any entry was applied as the state of now.

Change: an entry that may be from the copy is applied to a listed replica only if its sequence is later, or if it says that the replica is leaving; leaving and cold times that are known stay. A replica that was known to be gone is listed but not used for 6 s, in which the entry of a dead one lapses, unless it is written again. Replicas that the copy lacks are kept as lapsed ones always were, some two seconds.

--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -190,6 +190,7 @@
 	const char *zone;
 	struct sockaddr_in address;
 	gint64 incarnation; /* differs at each start of the same id */
+	gint64 sequence; /* rises with each state of one incarnation */
 	gint64 slots; /* requests the replica runs at once */
 	gint64 cold_us; /* remaining time as cold: slow, and of low capacity */
 	bool leaving;
@@ -244,8 +245,10 @@
 	struct sockaddr_in address;
 	enum route_distance distance;
 	gint64 incarnation;
+	gint64 sequence; /* of its entry */
 	gint64 slots;
 	gint64 cold_until_us;
+	gint64 held_until_us; /* not used before: it may be gone; 0: no */
 	gint64 lapsed_us; /* when its entry disappeared; 0 while listed */
 	bool leaving;
 	bool evacuated;
@@ -343,6 +346,22 @@
 bool route_fleet_put(struct route_fleet *fleet, const struct route_entry *entry,
 		     gint64 now_us);
 
+/**
+ * route_fleet_put_copied - apply an entry that may be older than what is known
+ * @fleet: a fleet
+ * @entry: copied
+ * @now_us: current time
+ *
+ * For entries of a list that was restored from an older copy. Only a later
+ * state of a listed replica is applied, or that it is leaving; a replica that
+ * was known to be gone is not used for 6 s, unless it is put by
+ * route_fleet_put().
+ *
+ * Return: false if what is known of the replica stays.
+ */
+bool route_fleet_put_copied(struct route_fleet *fleet,
+			    const struct route_entry *entry, gint64 now_us);
+
 /**
  * route_fleet_remove - handle the removal of a replica's entry
  * @fleet: a fleet
@@ -433,7 +452,8 @@
  * @now_us: current time
  *
  * Return: false if it is removed, leaving or evacuated, if another replica
- * answers at its address, or if it lapsed and its hold time has passed.
+ * answers at its address, if it may be gone, or if it lapsed and its hold time
+ * has passed.
  */
 bool route_replica_usable(const struct route_replica *replica, gint64 now_us);
 
--- a/src/libroute/fleet.c
+++ b/src/libroute/fleet.c
@@ -8,6 +8,11 @@
  * for the notification to arrive. */
 #define LAPSE_HOLD_US (2200 * CS_US_PER_MS)
 
+/* How long a replica that was known to be gone is not used although an older
+ * copy of the list has it: the entry of one that is gone lapses after three
+ * heartbeats, and these are some 1.2 s apart. */
+#define COPIED_HOLD_US (6 * CS_US_PER_S)
+
 /* Return: the hold time, kept below drain_us, the time for which a replica
  * still serves after its entry is gone. */
 static gint64 lapse_hold(const struct route_fleet *fleet)
@@ -199,6 +204,8 @@
 	}
 	changed = changed || replica->leaving != entry->leaving;
 	replica->leaving = entry->leaving;
+	replica->sequence = entry->sequence;
+	replica->held_until_us = 0;
 	replica->slots = MAX(entry->slots, 1);
 	/* The bucket of an earlier cold time is full by now. */
 	if (entry->cold_us > 0 && replica->cold_until_us <= now_us)
@@ -208,6 +215,66 @@
 	return changed;
 }
 
+/* Return: whether the entry is of a later start than the replica. */
+static bool is_later_start(const struct route_replica *replica,
+			   const struct route_entry *entry)
+{
+	return replica->incarnation &&
+	       entry->incarnation > replica->incarnation;
+}
+
+static void put_held(struct route_fleet *fleet, const struct route_entry *entry,
+		     gint64 now_us)
+{
+	struct route_replica *replica;
+
+	route_fleet_put(fleet, entry, now_us);
+	replica = g_hash_table_lookup(fleet->replicas, entry->id);
+	replica->held_until_us = now_us + COPIED_HOLD_US;
+}
+
+/* Applies a later state of a listed replica; what it said before still holds.
+ */
+static void put_later(struct route_fleet *fleet, struct route_replica *replica,
+		      const struct route_entry *entry, gint64 now_us)
+{
+	bool leaving = replica->leaving;
+	gint64 cold_until_us = replica->cold_until_us;
+
+	route_fleet_put(fleet, entry, now_us);
+	replica->leaving = replica->leaving || leaving;
+	replica->cold_until_us = MAX(replica->cold_until_us, cold_until_us);
+}
+
+bool route_fleet_put_copied(struct route_fleet *fleet,
+			    const struct route_entry *entry, gint64 now_us)
+{
+	struct route_replica *replica =
+		g_hash_table_lookup(fleet->replicas, entry->id);
+
+	if (!replica || replica->lapsed_us) {
+		put_held(fleet, entry, now_us);
+		return true;
+	}
+	if (!is_same_replica(replica, entry)) {
+		if (!is_later_start(replica, entry))
+			return false;
+		route_fleet_put(fleet, entry, now_us);
+		return true;
+	}
+	if (entry->sequence > replica->sequence) {
+		put_later(fleet, replica, entry, now_us);
+		return true;
+	}
+	replica->leaving = replica->leaving || entry->leaving;
+	return entry->sequence == replica->sequence;
+}
+
+static bool is_held(const struct route_replica *replica, gint64 now_us)
+{
+	return now_us < replica->held_until_us;
+}
+
 bool route_fleet_remove(struct route_fleet *fleet, const char *id, bool hold,
 			gint64 now_us)
 {
@@ -216,7 +283,7 @@
 
 	if (!replica || (replica->lapsed_us && hold))
 		return false;
-	if (replica->leaving || !hold) {
+	if (replica->leaving || is_held(replica, now_us) || !hold) {
 		remove_replica(fleet, replica);
 		return true;
 	}
@@ -320,7 +387,7 @@
 bool route_replica_usable(const struct route_replica *replica, gint64 now_us)
 {
 	if (!replica->pool || replica->leaving || replica->evacuated ||
-	    replica->wrong_instance)
+	    replica->wrong_instance || is_held(replica, now_us))
 		return false;
 	return !replica->lapsed_us ||
 	       now_us - replica->lapsed_us < lapse_hold(replica->pool->fleet);
--- a/test/unit/test_restored.c
+++ b/test/unit/test_restored.c
@@ -5,19 +5,26 @@
 #include "unit.h"
 
 #include "cuminsail/compress.h"
+#include "cuminsail/endpoint.h"
 #include "platform_adapter.h"
 
 #include <string.h>
 
-enum { STORE = 60 };
+enum { STORE = 60, REPLICA_X = 61, REPLICA_Y = 62, REPLICA_OTHER = 63 };
 
-/* A daemon that reads the store, and one replica of each of the services "x"
- * and "y" in zone "a", "x" also in zone "b". */
+#define GOOD                                                                   \
+	"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: s\r\nContent-Length: "           \
+	"2\r\n\r\nok"
+
+/* A daemon that reads the store, and replicas "x1" and "y1" of the services "x"
+ * and "y" in its zone "a"; "x2" of "x" is listed in zone "b", but not up. */
 struct fixture {
 	struct net net;
 	struct fake_store store;
 	struct daemon daemon;
 	struct platform_feed *feed;
+	struct net_server *x;
+	struct net_server *y;
 };
 
 /* Writes version @version of the configuration, which routes "/" to @service.
@@ -42,12 +49,19 @@
 			  const char *state, int sequence)
 {
 	g_autofree char *key = g_strdup_printf("servers/%s", id);
-	g_autofree char *text = g_strdup_printf(
-		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
-		"\"zone\":\"%s\",\"version\":\"v\",\"slots\":3,"
-		"\"state\":\"%s\",\"warmupLeftMs\":0,\"sequence\":%d}",
-		service, g_str_hash(id) % 60000 + 1, zone, state, sequence);
+	struct sockaddr_in address =
+		net_address(!strcmp(id, "x1")	? REPLICA_X
+			    : !strcmp(id, "y1") ? REPLICA_Y
+						: REPLICA_OTHER);
+	char endpoint[CS_ENDPOINT_TEXT_SIZE];
+	g_autofree char *text = NULL;
 
+	cs_endpoint_print(&address, endpoint);
+	text = g_strdup_printf("{\"service\":\"%s\",\"address\":\"%s\","
+			       "\"zone\":\"%s\",\"version\":\"v\","
+			       "\"slots\":3,\"state\":\"%s\","
+			       "\"warmupLeftMs\":0,\"sequence\":%d}",
+			       service, endpoint, zone, state, sequence);
 	fake_store_write(&fixture->store, key, text);
 	net_advance(&fixture->net, 300);
 }
@@ -58,7 +72,12 @@
 	fixture->net = net_create();
 	cs_clock_advance(fixture->net.clock, 100 * CS_US_PER_S);
 	fake_store_open(&fixture->store, &fixture->net, STORE);
+	fixture->x = net_server_create(&fixture->net, REPLICA_X, GOOD, false);
+	fixture->y = net_server_create(&fixture->net, REPLICA_Y, GOOD, false);
 	daemon_start_alone(&fixture->net, &fixture->daemon, "a");
+	fixture->daemon.settings.bounds.drain_us = 3 * CS_US_PER_S;
+	forward_engine_reload(fixture->daemon.engine,
+			      &fixture->daemon.settings);
 	write_replica(fixture, "x1", "x", "a", "ready", 1);
 	write_replica(fixture, "x2", "x", "b", "ready", 1);
 	write_replica(fixture, "y1", "y", "a", "ready", 1);
@@ -75,6 +94,8 @@
 	daemon_stop(&fixture->daemon);
 	platform_feed_destroy(fixture->feed);
 	fake_store_close(&fixture->store);
+	net_server_destroy(fixture->x);
+	net_server_destroy(fixture->y);
 	net_destroy(&fixture->net);
 }
 
@@ -103,8 +124,8 @@
 		 const char *target)
 {
 	struct net_client *client = net_connect(&fixture->net, address);
-	g_autofree char *text =
-		g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", target);
+	g_autofree char *text = g_strdup_printf(
+		"GET %s HTTP/1.1\r\nHost: h\r\nId: r1\r\n\r\n", target);
 	char *answer;
 
 	net_send(client, text);
@@ -162,7 +183,20 @@
 	return NULL;
 }
 
-/* Checks the version in force, the one that peers get, and where it routes to.
+/* Checks where a request is sent. */
+static void check_route(struct fixture *fixture, const char *service)
+{
+	struct net_server *server =
+		!strcmp(service, "x") ? fixture->x : fixture->y;
+	guint before = server->requests;
+	g_autofree char *answer =
+		ask(fixture, &fixture->daemon.settings.caller, "/1");
+
+	ck_assert_msg(server->requests == before + 1, "not sent to %s: %s",
+		      service, answer);
+}
+
+/* Checks the version in force, the one that peers get, and where they route to.
  */
 static void check_version(struct fixture *fixture, gint64 expected,
 			  const char *service)
@@ -173,6 +207,7 @@
 	const struct route *route;
 
 	ck_assert_int_eq(version(fixture), expected);
+	check_route(fixture, service);
 	ck_assert_ptr_nonnull(item);
 	table = decode_item(item);
 	ck_assert_ptr_nonnull(table);
@@ -365,10 +400,133 @@
 }
 END_TEST
 
+/* Guards against requests to a replica that leaves: the copy lists it as ready,
+ * as it was before it said so. */
+START_TEST(a_leaving_replica_that_the_copy_lists_as_ready_gets_no_requests)
+{
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	fake_store_copy(&fixture.store);
+	write_replica(&fixture, "x2", "x", "b", "draining", 7);
+	fake_store_restore(&fixture.store);
+	net_advance(&fixture.net, 10000);
+	ck_assert(!is_usable(&fixture, "x2"));
+	/* It is written again, and leaves. */
+	write_replica(&fixture, "x2", "x", "b", "draining", 9);
+	ck_assert(!is_usable(&fixture, "x2"));
+	fake_store_write(&fixture.store, "servers/x2", NULL);
+	net_advance(&fixture.net, 300);
+	/* Another one starts under its id. */
+	write_replica(&fixture, "x2", "x", "b", "ready", 1);
+	ck_assert(is_usable(&fixture, "x2"));
+	fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against requests to a replica that has gone: the copy still lists it,
+ * until its entry lapses. */
+START_TEST(a_gone_replica_that_the_copy_lists_gets_no_requests)
+{
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	fake_store_copy(&fixture.store);
+	fake_store_write(&fixture.store, "servers/x2", NULL);
+	net_advance(&fixture.net, 3000);
+	ck_assert(!is_usable(&fixture, "x2"));
+	fake_store_restore(&fixture.store);
+	for (int i = 0; i < 40; i++) {
+		net_advance(&fixture.net, 100);
+		ck_assert(!is_usable(&fixture, "x2"));
+	}
+	fake_store_write(&fixture.store, "servers/x2", NULL);
+	for (int i = 0; i < 60; i++) {
+		net_advance(&fixture.net, 100);
+		ck_assert(!is_usable(&fixture, "x2"));
+	}
+	fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against a replica that lives staying unused: its entry had lapsed
+ * before the store came back, and the copy lists it. */
+START_TEST(a_live_replica_that_the_copy_lists_is_used_again)
+{
+	static const struct {
+		bool rewritten;
+		gint64 ms;
+	} cases[] = {{true, 300}, {false, 8000}};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture fixture;
+
+		fixture_open(&fixture);
+		fake_store_copy(&fixture.store);
+		fake_store_write(&fixture.store, "servers/x2", NULL);
+		net_advance(&fixture.net, 3000);
+		fake_store_restore(&fixture.store);
+		net_advance(&fixture.net, 300);
+		if (cases[i].rewritten)
+			write_replica(&fixture, "x2", "x", "b", "ready", 9);
+		net_advance(&fixture.net, cases[i].ms);
+		ck_assert_msg(is_usable(&fixture, "x2"), "case %zu", i);
+		fixture_close(&fixture);
+	}
+}
+END_TEST
+
+/* Guards against the loss of replicas that started after the copy was made, and
+ * against requests to those that do not come back. */
+START_TEST(replicas_that_the_copy_lacks_are_kept_for_two_seconds)
+{
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	fake_store_copy(&fixture.store);
+	write_replica(&fixture, "x3", "x", "a", "ready", 1);
+	write_replica(&fixture, "x4", "x", "a", "ready", 1);
+	fake_store_restore(&fixture.store);
+	for (int i = 0; i < 18; i++) {
+		net_advance(&fixture.net, 100);
+		ck_assert(is_usable(&fixture, "x3"));
+		ck_assert(is_usable(&fixture, "x4"));
+	}
+	write_replica(&fixture, "x3", "x", "a", "ready", 5);
+	net_advance(&fixture.net, 1500);
+	ck_assert(is_usable(&fixture, "x3"));
+	ck_assert(!is_usable(&fixture, "x4"));
+	fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against a change that was made after the store's return being taken
+ * for the copy's, as it is read in the first range. */
+START_TEST(a_replica_that_leaves_before_the_first_range_gets_no_requests)
+{
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	write_replica(&fixture, "x2", "x", "b", "ready", 4);
+	fake_store_copy(&fixture.store);
+	write_version(&fixture, 9, "x");
+	/* Both in one turn, without a range in between. */
+	fixture.store.era++;
+	write_replica(&fixture, "x2", "x", "b", "draining", 6);
+	ck_assert(!is_usable(&fixture, "x2"));
+	fixture_close(&fixture);
+}
+END_TEST
+
 UNIT_MAIN("restored", the_copys_older_version_does_not_replace_a_confirmed_one,
 	  a_number_of_a_lost_version_may_name_other_content,
 	  a_lost_version_that_is_not_written_again_ends,
 	  an_invalid_version_that_is_written_again_is_refused_again,
 	  an_evacuation_that_the_copy_lacks_stays_until_it_is_ended,
 	  an_evacuation_that_is_not_written_again_ends,
-	  an_evacuation_in_the_copy_counts_until_it_is_ended_again)
+	  an_evacuation_in_the_copy_counts_until_it_is_ended_again,
+	  a_leaving_replica_that_the_copy_lists_as_ready_gets_no_requests,
+	  a_gone_replica_that_the_copy_lists_gets_no_requests,
+	  a_live_replica_that_the_copy_lists_is_used_again,
+	  replicas_that_the_copy_lacks_are_kept_for_two_seconds,
+	  a_replica_that_leaves_before_the_first_range_gets_no_requests)
