forward: Log what replicas say of themselves, and the number of an attempt

The log could not tell the hypotheses apart: neither a replica's leaving nor the rest it asks for was read, and a refused attempt did not say whether it was a repeat.

One line a second for a replica's rests; leaving once for each start.

What is read is kept with the replica, and decides nothing yet.

--- a/include/cuminsail/counters.h
+++ b/include/cuminsail/counters.h
@@ -122,6 +122,12 @@
 	  "changes of the rate limits that upstreams name")                    \
 	X(CS_N_LIMIT_INVALID, "rate_limits_total", "event=invalid",            \
 	  "changes of the rate limits that upstreams name")                    \
+	X(CS_N_NOTICE_LEAVING, "notices_total", "kind=leaving",                \
+	  "what upstreams say of themselves in answers")                       \
+	X(CS_N_NOTICE_REST, "notices_total", "kind=rest",                      \
+	  "what upstreams say of themselves in answers")                       \
+	X(CS_N_NOTICE_INVALID, "notices_total", "kind=invalid",                \
+	  "what upstreams say of themselves in answers")                       \
 	X(CS_N_LIMITED_FIRST, "limited_parts_total", "kind=first",             \
 	  "parts sent to upstreams with a rate limit")                         \
 	X(CS_N_LIMITED_EXTRA, "limited_parts_total", "kind=extra",             \
--- a/include/cuminsail/forward.h
+++ b/include/cuminsail/forward.h
@@ -24,6 +24,8 @@
 	const char *signature; /* of a replica's answer */
 	const char
 		*rate_limit; /* requests/s a replica takes from all daemons */
+	const char *leaving; /* "1": the replica leaves, in all its answers */
+	const char *rest; /* seconds a replica that refuses wants no request */
 	const char *part_signatures; /* of the parts of a merged answer */
 	const char *parts_missing; /* number of shards left out */
 	const char *ready_path; /* readiness check of the load balancer */
--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -234,6 +234,14 @@
 	gint64 at_us; /* time of the estimate; 0: there is none */
 };
 
+/** What a replica said of itself in its answers to this daemon. */
+struct route_notice {
+	bool leaving; /* for good */
+	gint64 rest_until_us; /* it wants no request before; 0: it never asked
+			       */
+	gint64 logged_us; /* time of the last log line about a rest */
+};
+
 /** A replica, its limits and its statistics. Read-only outside the package. */
 struct route_replica {
 	TAILQ_ENTRY(route_replica) link;
@@ -271,6 +279,7 @@
 	struct route_bucket
 		cold_bucket; /* this daemon's part while it is cold */
 	struct route_limit limit;
+	struct route_notice notice;
 	TAILQ_ENTRY(route_replica)
 	limited; /* in the fleet, once it named one */
 	void *owner_data; /* of the connections' owner; set before use */
@@ -477,6 +486,27 @@
  */
 void route_replica_saturated(struct route_replica *replica, gint64 now_us);
 
+/**
+ * route_replica_observe_leaving - record that a replica says that it leaves
+ * @replica: the replica
+ *
+ * Holds for this start of the replica, whatever it is listed as.
+ *
+ * Return: false if it was known.
+ */
+bool route_replica_observe_leaving(struct route_replica *replica);
+
+/**
+ * route_replica_observe_rest - record that a replica asks for rest
+ * @replica: the replica
+ * @rest_us: for how long; five minutes at most are granted
+ * @now_us: current time
+ *
+ * The latest end of all that it asked for holds.
+ */
+void route_replica_observe_rest(struct route_replica *replica, gint64 rest_us,
+				gint64 now_us);
+
 /** A change of a replica's rate limit. */
 enum route_limit_change {
 	ROUTE_LIMIT_SAME,
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -32,6 +32,7 @@
 	struct cs_timer drain; /* aborts the attempt; armed once part is NULL */
 	char *request_id;
 	guint32 copy; /* number of its job */
+	guint number; /* of its part's attempts, from 1 */
 	struct route_digest digest; /* of the request, once drained */
 	bool has_digest;
 	gint64 hedge_due_us; /* time for a second attempt; 0: never */
@@ -293,6 +294,16 @@
 	double per_s; /* of FORWARD_LIMIT_VALID: requests/s, above 0 */
 };
 
+/* What a replica says of itself in an answer. */
+struct forward_notice {
+	bool leaving;
+	gint64 rest_us; /* 0: it asks for no rest */
+	bool invalid; /* a field that cannot be read */
+};
+
+struct forward_notice forward_read_notice(const struct forward_dialect *dialect,
+					  const struct http1_message *message);
+
 struct forward_rate_limit forward_read_rate_limit(
 	const struct forward_dialect *dialect,
 	const struct http1_message *message);
@@ -565,6 +576,14 @@
  * skipped. */
 void forward_outliers_apply(struct forward_engine *engine, json_t *outliers);
 
+/* notices.c: replicas that say that they leave, or ask for rest */
+
+/* Records what an answer of the replica says. result: of that answer */
+void forward_notices_observe(struct forward_engine *engine,
+			     struct route_replica *replica,
+			     const struct http1_message *message,
+			     enum route_result result);
+
 /* limits.c: rate limits of replicas, and their exchange through the seeds */
 
 /* Records the rate limit that a replica's answer names. */
--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -131,13 +131,16 @@
 	struct forward_engine *engine = attempt->connection->link->engine;
 	char after[FORWARD_NUMBER_TEXT_MAX];
 	char code[FORWARD_NUMBER_TEXT_MAX];
+	char number[FORWARD_NUMBER_TEXT_MAX];
 
 	forward_print_ms(after, forward_now(engine) - attempt->route.sent_us);
 	g_snprintf(code, sizeof(code), "%u", status);
+	g_snprintf(number, sizeof(number), "%u", attempt->number);
 	cs_log(LOG_INFO, event, "id", attempt->request_id, "replica",
 	       attempt->route.replica->id, "zone", attempt->route.replica->zone,
-	       "after_ms", after, "wanted", attempt->part ? "yes" : "no",
-	       "status", code, "reason", reason, NULL);
+	       "after_ms", after, "attempt", number, "wanted",
+	       attempt->part ? "yes" : "no", "status", code, "reason", reason,
+	       NULL);
 }
 
 static gint64 idle_until(const struct route_replica *replica, gint64 now_us,
@@ -206,6 +209,8 @@
 		forward_contact_answered(engine->contact);
 		forward_limits_observe(engine, &attempt->route, message,
 				       classification.result);
+		forward_notices_observe(engine, attempt->route.replica, message,
+					classification.result);
 	}
 	if (classification.reason)
 		log_attempt(attempt, "attempt-failed",
@@ -405,6 +410,7 @@
 	attempt->drain.fire = on_drain_limit;
 	attempt->request_id = g_strdup(job->request_id);
 	attempt->copy = job->number;
+	attempt->number = part->n_sent + 1;
 	connection->attempt = attempt;
 	TAILQ_INSERT_TAIL(&part->attempts, attempt, link);
 	route_attempt_begin(&attempt->route, replica, part->work, now);
--- a/src/libforward/message.c
+++ b/src/libforward/message.c
@@ -135,14 +135,22 @@
 	list->n++;
 }
 
+static struct value_list collect_values(const struct http1_message *message,
+					const char *name)
+{
+	struct value_list list = {.name = name};
+
+	http1_message_foreach_end_to_end(message, collect_value, &list);
+	return list;
+}
+
 struct forward_rate_limit forward_read_rate_limit(
 	const struct forward_dialect *dialect,
 	const struct http1_message *message)
 {
-	struct value_list list = {.name = dialect->rate_limit};
+	struct value_list list = collect_values(message, dialect->rate_limit);
 	double per_s;
 
-	http1_message_foreach_end_to_end(message, collect_value, &list);
 	if (!list.n)
 		return (struct forward_rate_limit){FORWARD_LIMIT_ABSENT, 0};
 	if (list.n > 1 || !is_decimal(list.value))
@@ -153,6 +161,31 @@
 	return (struct forward_rate_limit){FORWARD_LIMIT_VALID, per_s};
 }
 
+/* Largest rest that is read, in seconds: sums with a clock time do not
+ * overflow.
+ */
+#define REST_MAX_S 1e9
+
+struct forward_notice forward_read_notice(const struct forward_dialect *dialect,
+					  const struct http1_message *message)
+{
+	struct value_list leaving = collect_values(message, dialect->leaving);
+	struct value_list rest = collect_values(message, dialect->rest);
+	struct forward_notice notice = {0};
+
+	notice.leaving = leaving.n && !strcmp(leaving.value, "1");
+	notice.invalid = leaving.n && !notice.leaving;
+	if (message->status != 503 || !rest.n)
+		return notice;
+	if (rest.n > 1 || !is_decimal(rest.value))
+		notice.invalid = true;
+	else
+		notice.rest_us = (gint64)(MIN(g_ascii_strtod(rest.value, NULL),
+					      REST_MAX_S) *
+					  CS_US_PER_S);
+	return notice;
+}
+
 struct head_writer {
 	const struct forward_dialect *dialect;
 	GString *head;
