--- a/test/unit/test_follow.c
+++ b/test/unit/test_follow.c
@@ -95,6 +95,37 @@
 }
 END_TEST
 
+/* Guards against a view of a lost history counting as current: all seeds have
+ * it, are cut off from the store's return, and look up to date. */
+START_TEST(with_seeds_of_an_earlier_history_the_platform_is_read)
+{
+	struct net net = net_create();
+	struct daemon seeds[SEEDS];
+	struct daemon follower;
+
+	for (guint i = 0; i < SEEDS; i++) {
+		daemon_start(&net, &seeds[i], i, "a");
+		seeds[i].history = 1;
+		daemon_confirm_view(&net, &seeds[i], 63);
+	}
+	daemon_start(&net, &follower, 2, "a");
+	net_advance(&net, 300);
+	follower.history = 2;
+	follower.revision = 40;
+	for (int i = 0; i < 30; i++) {
+		for (guint k = 0; k < SEEDS; k++)
+			daemon_confirm_view(&net, &seeds[k], 63);
+		net_advance(&net, 100);
+	}
+	ck_assert_int_eq(follower.history, 2);
+	ck_assert(follower.direct);
+	for (guint i = 0; i < SEEDS; i++)
+		daemon_stop(&seeds[i]);
+	daemon_stop(&follower);
+	net_destroy(&net);
+}
+END_TEST
+
 /* If all seeds are down or late, a follower reads the platform directly, early
  * enough for a change to be in force within 3 s. */
 START_TEST(without_a_usable_seed_the_platform_is_read_in_time)
@@ -692,6 +723,7 @@
 UNIT_MAIN("follow", a_daemon_follows_a_seed_and_does_not_read_the_platform,
 	  a_follower_switches_from_a_late_seed_to_a_current_one,
 	  a_follower_leaves_a_seed_of_an_earlier_history,
+	  with_seeds_of_an_earlier_history_the_platform_is_read,
 	  without_a_usable_seed_the_platform_is_read_in_time,
 	  a_daemon_without_a_view_soon_reads_the_platform,
 	  a_seed_holds_calls_until_its_first_view,
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -828,6 +828,20 @@
 }
 END_TEST
 
+/* Guards against a first view from an answer whose history cannot be read. */
+START_TEST(a_first_answer_with_a_malformed_era_is_dropped)
+{
+	struct store_fixture fixture;
+
+	fixture_open(&fixture);
+	queue_reply_with(&fixture, ERA(x), RANGE(ITEM("a", 3), 10, "false"));
+	platform_store_set_direct_reading(fixture.store, true);
+	net_run_until_idle(&fixture.net);
+	ck_assert_str_eq(fixture.changes->str, "");
+	fixture_close(&fixture);
+}
+END_TEST
+
 /* Guards against a daemon taking up the lost history from a peer, or keeping it
  * although a peer has the new one, whose revisions are lower. */
 START_TEST(the_later_history_of_two_daemons_wins)
@@ -890,4 +904,5 @@
 	  another_history_is_noticed_without_a_410,
 	  a_range_that_spans_two_histories_is_read_again,
 	  answers_of_an_earlier_history_are_dropped,
+	  a_first_answer_with_a_malformed_era_is_dropped,
 	  the_later_history_of_two_daemons_wins)
