route: Send nothing to a replica that has said that it leaves

Cause: only the list told whether a replica leaves; what it said itself was not read.

Change: its word counts like the list's, from the next send on: first attempts, parts that wait, retries and hedges all go through one check. It is read in every answer of the replica: failures, refusals, hedges that lost, answers after the caller left, interim ones; not in the answer of another replica (421), nor in one to another request. If all replicas of a service leave, a request is refused at once, as with the list's word.

Ruled out: to tell the other daemons. Each hears it by its own first answer, at the cost of none: the answers are good.

--- a/include/cuminsail/http1.h
+++ b/include/cuminsail/http1.h
@@ -223,6 +223,18 @@
  */
 void http1_reader_reset(struct http1_reader *reader, bool no_body);
 
+/**
+ * http1_reader_set_interim - set a callback for interim answers
+ * @reader: a reader of answers
+ * @interim: called with the header fields of each interim answer (status 1xx),
+ *	which the reader skips otherwise; must not free the reader
+ * @user: passed to @interim
+ */
+void http1_reader_set_interim(
+	struct http1_reader *reader,
+	void (*interim)(const struct http1_message *message, void *user),
+	void *user);
+
 /**
  * http1_reader_feed - parse received bytes up to the end of the message
  * @reader: a reader whose message is not complete
@@ -475,6 +487,16 @@
 	const struct sockaddr_in *to, const struct http1_limits *limits,
 	const struct http1_client_hooks *hooks);
 
+/**
+ * http1_client_set_interim - set a callback for interim answers
+ * @client: a connection
+ * @interim: called with each interim answer and the user of the other
+ *callbacks; must not close the connection
+ */
+void http1_client_set_interim(
+	struct http1_client *client,
+	void (*interim)(const struct http1_message *message, void *user));
+
 /**
  * http1_client_send - send a request
  * @client: a connection that is idle or still connecting
--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -460,9 +460,9 @@
  * @replica: a replica
  * @now_us: current time
  *
- * Return: false if it is removed, leaving or evacuated, if another replica
- * answers at its address, if it may be gone, or if it lapsed and its hold time
- * has passed.
+ * Return: false if it is removed, evacuated or leaving, also by its own word,
+ * if another replica answers at its address, if it may be gone, or if it lapsed
+ * and its hold time has passed.
  */
 bool route_replica_usable(const struct route_replica *replica, gint64 now_us);
 
--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -245,6 +245,15 @@
 	return true;
 }
 
+static void on_interim(const struct http1_message *message, void *user)
+{
+	struct forward_connection *connection = user;
+
+	forward_notices_observe(connection->link->engine,
+				connection->link->replica, message,
+				ROUTE_ANSWERED);
+}
+
 /* Return: time for a hedge of an attempt that is sent now; 0: never. */
 static gint64 hedge_due(const struct forward_part *part,
 			const struct forward_attempt *attempt)
@@ -377,6 +386,8 @@
 		g_free(connection);
 		return NULL;
 	}
+	if (!link->to_peer)
+		http1_client_set_interim(connection->client, on_interim);
 	link->replica->connections++;
 	link->replica->connecting++;
 	connection->connecting = true;
--- a/src/libhttp/client.c
+++ b/src/libhttp/client.c
@@ -254,6 +254,13 @@
 	return NULL;
 }
 
+void http1_client_set_interim(
+	struct http1_client *client,
+	void (*interim)(const struct http1_message *message, void *user))
+{
+	http1_reader_set_interim(client->reader, interim, client->hooks.user);
+}
+
 void http1_client_send(struct http1_client *client, const GString *head,
 		       const void *body, gsize length, bool no_body)
 {
--- a/src/libhttp/message.c
+++ b/src/libhttp/message.c
@@ -21,6 +21,9 @@
 	bool complete;
 	/* Why a callback stopped the parser; HTTP1_INCOMPLETE if none did. */
 	enum http1_reader_state error;
+	/* Called with each interim answer, or NULL. */
+	void (*interim)(const struct http1_message *message, void *user);
+	void *interim_user;
 };
 
 static struct http1_reader *reader_of(http_parser *parser)
@@ -203,6 +206,8 @@
 	struct http1_reader *reader = reader_of(parser);
 
 	if (is_interim(reader)) {
+		if (reader->interim)
+			reader->interim(&reader->message, reader->interim_user);
 		/* All interim answers together have the limit of one head. */
 		gsize bytes = reader->head_bytes;
 
@@ -238,6 +243,15 @@
 	return reader;
 }
 
+void http1_reader_set_interim(
+	struct http1_reader *reader,
+	void (*interim)(const struct http1_message *message, void *user),
+	void *user)
+{
+	reader->interim = interim;
+	reader->interim_user = user;
+}
+
 void http1_reader_release_memory(struct http1_reader *reader)
 {
 	if (reader->memory)
--- a/src/libroute/fleet.c
+++ b/src/libroute/fleet.c
@@ -45,14 +45,17 @@
 	fleet->round_trips =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	TAILQ_INIT(&fleet->limited);
+	fleet->notices =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet->places =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return fleet;
 }
 
 static void remove_replica(struct route_fleet *fleet,
-			   struct route_replica *replica)
+			   struct route_replica *replica, gint64 now_us)
 {
+	route_notice_keep(replica, now_us);
 	g_hash_table_remove(fleet->replicas, replica->id);
 	if (replica->lapsed_us)
 		fleet->n_lapsed--;
@@ -85,6 +88,7 @@
 	g_hash_table_unref(fleet->work_by_route);
 	g_hash_table_unref(fleet->round_trips);
 	g_hash_table_unref(fleet->places);
+	g_hash_table_unref(fleet->notices);
 	g_hash_table_unref(fleet->regions);
 	route_table_unref(fleet->table);
 	g_free(fleet->zone);
@@ -162,12 +166,14 @@
 	replica->distance = distance_to(fleet, entry->zone, replica->region);
 	replica->address = entry->address;
 	replica->incarnation = entry->incarnation;
+	replica->sequence = entry->sequence;
 	replica->evacuated =
 		g_hash_table_contains(fleet->evacuated, entry->zone);
 	TAILQ_INIT(&replica->open_attempts);
 	replica->pool = route_fleet_pool(fleet, entry->service);
 	TAILQ_INSERT_TAIL(&replica->pool->replicas, replica, link);
 	g_hash_table_insert(fleet->replicas, replica->id, replica);
+	route_notice_restore(replica);
 	return replica;
 }
 
@@ -190,7 +196,7 @@
 	bool changed = false;
 
 	if (replica && !is_same_replica(replica, entry)) {
-		remove_replica(fleet, replica);
+		remove_replica(fleet, replica, now_us);
 		replica = NULL;
 	}
 	if (!replica) {
@@ -202,6 +208,7 @@
 		fleet->n_lapsed--;
 		changed = true;
 	}
+	route_notice_check_start(replica, entry);
 	changed = changed || replica->leaving != entry->leaving;
 	replica->leaving = entry->leaving;
 	replica->sequence = entry->sequence;
@@ -283,8 +290,9 @@
 
 	if (!replica || (replica->lapsed_us && hold))
 		return false;
-	if (replica->leaving || is_held(replica, now_us) || !hold) {
-		remove_replica(fleet, replica);
+	if (replica->leaving || replica->notice.leaving ||
+	    is_held(replica, now_us) || !hold) {
+		remove_replica(fleet, replica, now_us);
 		return true;
 	}
 	replica->lapsed_us = MAX(now_us, 1);
@@ -307,7 +315,7 @@
 		    now_us - replica->lapsed_us < lapse_hold(fleet))
 			continue;
 		g_hash_table_iter_remove(&iter);
-		remove_replica(fleet, replica);
+		remove_replica(fleet, replica, now_us);
 	}
 }
 
@@ -386,8 +394,9 @@
 
 bool route_replica_usable(const struct route_replica *replica, gint64 now_us)
 {
-	if (!replica->pool || replica->leaving || replica->evacuated ||
-	    replica->wrong_instance || is_held(replica, now_us))
+	if (!replica->pool || replica->leaving || replica->notice.leaving ||
+	    replica->evacuated || replica->wrong_instance ||
+	    is_held(replica, now_us))
 		return false;
 	return !replica->lapsed_us ||
 	       now_us - replica->lapsed_us < lapse_hold(replica->pool->fleet);
--- a/src/libroute/fleet.h
+++ b/src/libroute/fleet.h
@@ -31,6 +31,16 @@
 	gint64 told_us;
 };
 
+/* What a replica that is no longer listed said of itself: it may be listed
+ * again without a new start. */
+struct route_kept_notice {
+	struct sockaddr_in address;
+	gint64 incarnation;
+	gint64 sequence; /* of its last entry */
+	struct route_notice notice;
+	gint64 kept_us; /* since when */
+};
+
 struct route_fleet {
 	char *zone;
 	const char *region;
@@ -45,6 +55,7 @@
 	struct route_table *table;
 	struct route_bounds bounds;
 	guint n_lapsed; /* replicas kept although no longer listed */
+	GHashTable *notices; /* id to struct route_kept_notice */
 };
 
 /**
@@ -105,4 +116,27 @@
  */
 gint64 route_limit_wait_us(struct route_replica *replica, gint64 now_us);
 
+/**
+ * route_notice_keep - keep what a replica said while it is not listed
+ * @replica: a replica that is removed from its fleet
+ * @now_us: current time
+ */
+void route_notice_keep(struct route_replica *replica, gint64 now_us);
+
+/**
+ * route_notice_restore - take up what a replica said before it was removed
+ * @replica: a replica that is listed again
+ *
+ * Nothing is taken up if the entry is of a new start.
+ */
+void route_notice_restore(struct route_replica *replica);
+
+/**
+ * route_notice_check_start - forget what a replica said if it has started again
+ * @replica: a listed replica
+ * @entry: its new entry, of the same incarnation as far as it names one
+ */
+void route_notice_check_start(struct route_replica *replica,
+			      const struct route_entry *entry);
+
 #endif
--- a/test/unit/test_notice.c
+++ b/test/unit/test_notice.c
@@ -29,7 +29,8 @@
 	return (struct route_entry){
 		.id = ids[i],
 		.service = "s",
-		.zone = "a",
+		/* The first one is preferred. */
+		.zone = i ? "b" : "a",
 		.address = net_address(REPLICA + i),
 		.incarnation = 1,
 		.sequence = 1,
@@ -144,6 +145,13 @@
 	net_advance(&fixture->net, 1000);
 }
 
+/* Leaves replica 0 as the only one. */
+static void remove_other(struct fixture *fixture)
+{
+	route_fleet_remove(forward_engine_fleet(fixture->daemon.engine), "u1",
+			   false, cs_clock_now(fixture->net.clock));
+}
+
 /* Guards against requests to a replica that has said that it leaves, while the
  * list has it as ready. */
 START_TEST(a_replica_that_says_it_leaves_gets_no_more_requests)
@@ -158,6 +166,165 @@
 }
 END_TEST
 
+/* Guards against answers that tell of a replica's leaving without effect, and
+ * against a replica being left out because of what is not its own word. */
+START_TEST(each_answer_of_a_leaving_replica_counts)
+{
+	static const struct {
+		const char *answer;
+		bool leaves;
+	} cases[] = {
+		{GOOD, false},
+		{LEAVES, true},
+		{ANSWER("404 None", "Leaves: 1\r\n"), true},
+		{ANSWER("500 Error", "Leaves: 1\r\n"), true},
+		{ANSWER("503 Busy", "Not-Run: 1\r\nLeaves: 1\r\n"), true},
+		{ANSWER("503 Busy", "Leaves: 1\r\n"), true},
+		{ANSWER("200 OK", "leaves: 1\r\n"), true},
+		{ANSWER("200 OK", "Leaves: 1\r\nLeaves: 1\r\n"), true},
+		{"HTTP/1.1 103 Early\r\nLeaves: 1\r\n\r\n" GOOD, true},
+		{ANSWER("200 OK", "Leaves: 0\r\n"), false},
+		{ANSWER("200 OK", "Leaves:\r\n"), false},
+		{ANSWER("200 OK", "Leaves: 11\r\n"), false},
+		{ANSWER("200 OK", "Leaves: true\r\n"), false},
+		/* Another replica answers there. */
+		{ANSWER("421 Other", "Leaves: 1\r\n"), false},
+		/* The answer to another request. */
+		{"HTTP/1.1 200 OK\r\nId: r0\r\nSigned: s\r\nLeaves: "
+		 "1\r\nContent-Length: 0\r\n\r\n" GOOD,
+		 false},
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture fixture;
+		struct cs_counters *counters;
+
+		fixture_open(&fixture);
+		remove_other(&fixture);
+		counters = forward_engine_counters(fixture.daemon.engine);
+		fixture.replicas[0]->reply = cases[i].answer;
+		ask(&fixture);
+		ck_assert_msg(cs_counters_get(counters, CS_N_NOTICE_LEAVING) ==
+				      cases[i].leaves,
+			      "case %zu", i);
+		fixture.replicas[0]->reply = GOOD;
+		net_advance(&fixture.net, 1000);
+		ck_assert_msg(!count_for(&fixture, 0, 100) == cases[i].leaves ||
+				      strstr(cases[i].answer, " 421 "),
+			      "case %zu", i);
+		fixture_close(&fixture);
+	}
+}
+END_TEST
+
+/* Guards against a replica's word being lost that comes after its answer is no
+ * longer needed: a hedge was quicker, or the caller has gone. */
+START_TEST(an_answer_that_nobody_waits_for_counts_too)
+{
+	for (int gone = 0; gone < 2; gone++) {
+		struct fixture fixture;
+		struct net_client *caller;
+
+		fixture_open(&fixture);
+		fixture.replicas[0]->reply = LEAVES;
+		fixture.replicas[0]->hold = true;
+		fixture.replicas[1]->hold = gone;
+		caller = net_connect(&fixture.net,
+				     &fixture.daemon.settings.caller);
+		net_send(caller, "GET /one/ HTTP/1.1\r\nHost: h\r\nId: r1\r\n"
+				 "Wait: 900\r\n\r\n");
+		net_advance(&fixture.net, gone ? 20 : 300);
+		ck_assert_uint_gt(fixture.replicas[0]->received->len, 0);
+		net_close(caller);
+		net_run_until_idle(&fixture.net);
+		net_server_reply_held(fixture.replicas[0]);
+		fixture.replicas[0]->hold = fixture.replicas[1]->hold = false;
+		net_run_until_idle(&fixture.net);
+		net_advance(&fixture.net, 1000);
+		ck_assert_msg(count_for(&fixture, 0, 1000) == 0, "case %d",
+			      gone);
+		fixture_close(&fixture);
+	}
+}
+END_TEST
+
+/* Guards against requests to a leaving replica because of what the list says
+ * later, and against a new start being left out. */
+START_TEST(a_leaving_replica_stays_so_until_it_starts_again)
+{
+	static const struct {
+		gint64 incarnations[2];
+		gint64 sequences[2];
+		bool removed; /* in between, for longer than a lapse */
+		bool moved; /* to another address */
+		bool leaves;
+	} cases[] = {
+		{{1, 1}, {5, 9}, false, false, true},
+		{{1, 1}, {5, 9}, true, false, true},
+		{{0, 0}, {5, 9}, false, false, true},
+		{{0, 0}, {5, 9}, true, false, true},
+		{{1, 2}, {5, 9}, false, false, false},
+		{{1, 2}, {5, 9}, true, false, false},
+		{{0, 0}, {5, 1}, false, false, false},
+		{{0, 0}, {5, 1}, true, false, false},
+		{{1, 1}, {5, 9}, true, true, false},
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture fixture;
+		struct route_entry entry = entry_of(0);
+		struct route_fleet *fleet;
+
+		fixture_open(&fixture);
+		fleet = forward_engine_fleet(fixture.daemon.engine);
+		remove_other(&fixture);
+		entry.incarnation = cases[i].incarnations[0];
+		entry.sequence = cases[i].sequences[0];
+		put(&fixture, &entry);
+		fixture.replicas[0]->reply = LEAVES;
+		ask(&fixture);
+		fixture.replicas[0]->reply = GOOD;
+		if (cases[i].removed) {
+			route_fleet_remove(fleet, "u0", true,
+					   cs_clock_now(fixture.net.clock));
+			net_advance(&fixture.net, 3000);
+		}
+		entry.incarnation = cases[i].incarnations[1];
+		entry.sequence = cases[i].sequences[1];
+		if (cases[i].moved)
+			entry.address = net_address(REPLICA + 1);
+		put(&fixture, &entry);
+		ck_assert_msg((ask(&fixture) != 200) == cases[i].leaves,
+			      "case %zu", i);
+		fixture_close(&fixture);
+	}
+}
+END_TEST
+
+/* Guards against callers that wait for their deadline when all replicas leave.
+ */
+START_TEST(with_leaving_replicas_only_a_request_is_refused_at_once)
+{
+	struct fixture fixture;
+	struct net_client *caller;
+
+	fixture_open(&fixture);
+	remove_other(&fixture);
+	fixture.replicas[0]->reply = LEAVES;
+	ck_assert_uint_eq(ask(&fixture), 200);
+	caller = net_connect(&fixture.net, &fixture.daemon.settings.caller);
+	net_send(caller, "GET /once/ HTTP/1.1\r\nHost: h\r\nId: r1\r\n\r\n");
+	net_run_until_idle(&fixture.net);
+	net_read(caller);
+	ck_assert_msg(g_str_has_prefix(caller->received->str, "HTTP/1.1 503"),
+		      "%s", caller->received->str);
+	ck_assert_ptr_nonnull(strstr(caller->received->str, "Retry-After: "));
+	ck_assert_uint_eq(fixture.replicas[0]->requests, 1);
+	net_close(caller);
+	fixture_close(&fixture);
+}
+END_TEST
+
 /* Guards against requests to a replica that has turned one away and asked for
  * rest, before the end of the time. */
 START_TEST(a_replica_that_asks_for_rest_gets_no_requests_until_its_end)
@@ -165,13 +332,20 @@
 	struct fixture fixture;
 
 	fixture_open(&fixture);
+	remove_other(&fixture);
 	fixture.replicas[0]->reply = ASKS("3");
-	reach(&fixture, 0);
-	/* One second has passed. */
-	ck_assert_uint_eq(count_for(&fixture, 0, 1900), 0);
+	ask(&fixture);
+	fixture.replicas[0]->reply = GOOD;
+	ck_assert_uint_eq(count_for(&fixture, 0, 2900), 0);
+	net_advance(&fixture.net, 200);
+	ck_assert_uint_gt(count_for(&fixture, 0, 1000), 40);
 	fixture_close(&fixture);
 }
 END_TEST
 
 UNIT_MAIN("notice", a_replica_that_says_it_leaves_gets_no_more_requests,
+	  each_answer_of_a_leaving_replica_counts,
+	  an_answer_that_nobody_waits_for_counts_too,
+	  a_leaving_replica_stays_so_until_it_starts_again,
+	  with_leaving_replicas_only_a_request_is_refused_at_once,
 	  a_replica_that_asks_for_rest_gets_no_requests_until_its_end)
