route: Send nothing to a replica during the rest that it asked for

Cause: the time was not read. A refusal raised the failure rate, and its decay decided when the replica was tried again, and with several requests before the first answer.

Change: a daemon sends a replica nothing until the latest end of all the rests that it asked this daemon for; first attempts, queued ones, retries and hedges go through the same check. A shorter time later does not shorten it, as the earlier promise stands, nor does a good answer on its way. Five minutes at most are granted. After it one request at a time is sent until one is answered. Fractions count; signs, dates, exponents, several lines do not, and are logged. If no replica can take a request in time, it is refused at once (`upstream-rest`, counted by its own reason) with the earliest end as Retry-After, spread over 0.2 s. A rest is kept like the word of leaving if the entry lapses.

Ruled out: that these were retries with no other replica left (59 of 102 were first attempts).

--- a/include/cuminsail/error.h
+++ b/include/cuminsail/error.h
@@ -64,7 +64,9 @@
 	X(CS_E_BLOCKED, -38, 503, "blocked-request",                           \
 	  "upstreams crash when they run this request")                        \
 	X(CS_E_NO_CONTACT, -39, 503, "no-contact",                             \
-	  "neither an upstream nor a peer that reaches one is in reach")
+	  "neither an upstream nor a peer that reaches one is in reach")       \
+	X(CS_E_REST, -40, 503, "upstream-rest",                                \
+	  "all upstreams have asked for rest")
 
 enum cs_error {
 	CS_OK = 0,
--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -237,8 +237,9 @@
 /** What a replica said of itself in its answers to this daemon. */
 struct route_notice {
 	bool leaving; /* for good */
-	gint64 rest_until_us; /* it wants no request before; 0: it never asked
+	gint64 rest_until_us; /* end of the rest it asked for; 0: it never did
 			       */
+	bool on_trial; /* no answer since the rest: one request at a time */
 	gint64 logged_us; /* time of the last log line about a rest */
 };
 
@@ -603,7 +604,9 @@
 	ROUTE_NO_CAPACITY, /* all usable replicas are at their limits */
 	ROUTE_RATE_LIMITED, /* so are their rate limits, for longer than wait_us
 			     */
+	ROUTE_RESTING, /* they have asked for rest, for longer than wait_us */
 	ROUTE_NO_REPLICA, /* no replica is usable for the request */
+	ROUTE_UNAVAILABLE_N,
 };
 
 /**
@@ -625,14 +628,14 @@
 					enum route_unavailable *reason);
 
 /**
- * route_pool_limit_wait_us - time until a rate limit allows a request
+ * route_pool_wait_us - time until rate limits and rests allow a request
  * @pool: a pool
  * @now_us: current time
  *
  * Return: the shortest time of its usable replicas, in microseconds; 0 if one
- * has no rate limit, G_MAXINT64 if this daemon may send to none of them.
+ * has neither, G_MAXINT64 if this daemon may send to none of them.
  */
-gint64 route_pool_limit_wait_us(struct route_pool *pool, gint64 now_us);
+gint64 route_pool_wait_us(struct route_pool *pool, gint64 now_us);
 
 /**
  * route_fleet_work - get the estimated processing time of a route
--- a/src/libforward/job.c
+++ b/src/libforward/job.c
@@ -239,21 +239,20 @@
  * the job fails, else 0. */
 static int too_few_replicas(struct forward_job *job)
 {
-	guint n_unavailable = 0;
-	int code = CS_E_RATE_LIMIT;
+	guint n[ROUTE_UNAVAILABLE_N] = {0};
 
 	for (guint i = 0; i < job->n_parts; i++) {
 		enum route_unavailable unavailable;
 
 		forward_part_choose(&job->parts[i], &unavailable);
-		if (unavailable == ROUTE_NO_REPLICA)
-			code = CS_E_NO_REPLICA;
-		n_unavailable += unavailable == ROUTE_NO_REPLICA ||
-				 unavailable == ROUTE_RATE_LIMITED;
+		n[unavailable]++;
 	}
-	if (n_unavailable <= job->n_parts - forward_parts_needed(job))
+	if (n[ROUTE_NO_REPLICA] + n[ROUTE_RATE_LIMITED] + n[ROUTE_RESTING] <=
+	    job->n_parts - forward_parts_needed(job))
 		return 0;
-	return code;
+	if (n[ROUTE_NO_REPLICA])
+		return CS_E_NO_REPLICA;
+	return n[ROUTE_RESTING] ? CS_E_REST : CS_E_RATE_LIMIT;
 }
 
 static void begin_at_replicas(struct forward_job *job)
--- a/src/libforward/part.c
+++ b/src/libforward/part.c
@@ -187,6 +187,8 @@
 		fail_part(part, part->reason ? part->reason : CS_E_NO_REPLICA);
 	else if (unavailable == ROUTE_RATE_LIMITED)
 		fail_part(part, part->reason ? part->reason : CS_E_RATE_LIMIT);
+	else if (unavailable == ROUTE_RESTING)
+		fail_part(part, part->reason ? part->reason : CS_E_REST);
 	else if (part->state != PART_WAITING)
 		enqueue_waiting(part, "no-room");
 }
--- a/src/libforward/reply.c
+++ b/src/libforward/reply.c
@@ -14,6 +14,10 @@
  * platform's list changes. */
 #define RETRY_CONFIG_MS 500
 
+/* Callers that were refused during a rest return over this time after its end,
+ * so that the replica does not meet all of them at once. */
+#define RETRY_REST_SPREAD_MS 200
+
 /* Longest Retry-After for rate limits: a call to a seed then has told this
  * daemon of a limit that ended. */
 #define RETRY_LIMIT_MAX_MS 1000
@@ -162,18 +166,25 @@
 	return failure;
 }
 
-/* Return: time until this daemon may send all parts of the job. */
-static gint64 rate_limit_wait_ms(const struct forward_job *job)
+/* Return: time until this daemon may send all parts of the job, or G_MAXINT64
+ * if it may not send one. */
+static gint64 wait_ms_of(const struct forward_job *job)
 {
 	gint64 now = forward_now(job->engine);
 	gint64 wait_ms = RETRY_OVERLOAD_MS;
 
 	for (guint i = 0; i < job->n_parts; i++)
-		wait_ms =
-			MAX(wait_ms,
-			    route_pool_limit_wait_us(job->parts[i].pool, now) /
-				    CS_US_PER_MS);
-	return MIN(wait_ms, RETRY_LIMIT_MAX_MS);
+		wait_ms = MAX(wait_ms,
+			      route_pool_wait_us(job->parts[i].pool, now) /
+				      CS_US_PER_MS);
+	return wait_ms;
+}
+
+/* Return: time until the rests of the job's replicas end. */
+static gint64 rest_wait_ms(const struct forward_job *job)
+{
+	return MIN(wait_ms_of(job), RETRY_BLOCKED_MS) +
+	       g_random_int_range(0, RETRY_REST_SPREAD_MS);
 }
 
 static gint64 retry_after_ms(const struct forward_job *job, int code)
@@ -186,7 +197,9 @@
 	case CS_E_BLOCKED:
 		return RETRY_BLOCKED_MS;
 	case CS_E_RATE_LIMIT:
-		return rate_limit_wait_ms(job);
+		return MIN(wait_ms_of(job), RETRY_LIMIT_MAX_MS);
+	case CS_E_REST:
+		return rest_wait_ms(job);
 	default:
 		return RETRY_OVERLOAD_MS;
 	}
--- a/src/libroute/choose.c
+++ b/src/libroute/choose.c
@@ -127,6 +127,30 @@
 	return replica->connecting < CONNECTING_MAX;
 }
 
+/* Why the replica takes no request for longer than the criteria allow to wait;
+ * ROUTE_AVAILABLE if it is not so. */
+static enum route_unavailable long_wait(const struct route_criteria *criteria,
+					struct route_replica *replica,
+					gint64 now_us)
+{
+	if (route_rest_wait_us(replica, now_us) > criteria->wait_us)
+		return ROUTE_RESTING;
+	if (route_limit_wait_us(replica, now_us) > criteria->wait_us)
+		return ROUTE_RATE_LIMITED;
+	return ROUTE_AVAILABLE;
+}
+
+/* Whether the replica takes a request now. */
+static bool has_capacity(struct route_pool *pool, struct route_replica *replica,
+			 gint64 now_us)
+{
+	return has_connection(replica, now_us) &&
+	       has_cold_capacity(pool, replica, now_us) &&
+	       route_limit_allows(replica, now_us) &&
+	       !route_rest_wait_us(replica, now_us) &&
+	       !(replica->notice.on_trial && replica->n_open);
+}
+
 /* Expected time to an answer, including the requests queued before it, a new
  * connection if none is idle, and the risk of a failure. */
 static double cost_us(const struct route_criteria *criteria,
@@ -154,20 +178,20 @@
 
 	*reason = ROUTE_NO_REPLICA;
 	TAILQ_FOREACH (replica, &pool->replicas, link) {
+		enum route_unavailable wait;
 		enum tier tier;
 		double cost;
 
 		if (!is_eligible(criteria, replica, now_us))
 			continue;
-		if (route_limit_wait_us(replica, now_us) > criteria->wait_us) {
+		wait = long_wait(criteria, replica, now_us);
+		if (wait != ROUTE_AVAILABLE) {
 			if (*reason == ROUTE_NO_REPLICA)
-				*reason = ROUTE_RATE_LIMITED;
+				*reason = wait;
 			continue;
 		}
 		*reason = ROUTE_NO_CAPACITY;
-		if (!has_connection(replica, now_us) ||
-		    !has_cold_capacity(pool, replica, now_us) ||
-		    !route_limit_allows(replica, now_us))
+		if (!has_capacity(pool, replica, now_us))
 			continue;
 		tier = tier_of(criteria, replica, now_us);
 		cost = cost_us(criteria, replica, now_us);
--- a/src/libroute/estimate.c
+++ b/src/libroute/estimate.c
@@ -258,6 +258,7 @@
 
 	switch (result) {
 	case ROUTE_ANSWERED:
+		route_notice_answered(replica, attempt->sent_us);
 		replica->consecutive_failures = 0;
 		replica->suspect_until_us = 0;
 		add_failure_sample(replica, 0, now_us);
--- a/src/libroute/fleet.h
+++ b/src/libroute/fleet.h
@@ -116,6 +116,22 @@
  */
 gint64 route_limit_wait_us(struct route_replica *replica, gint64 now_us);
 
+/**
+ * route_rest_wait_us - time until a replica's rest ends
+ * @replica: a replica
+ * @now_us: current time
+ *
+ * Return: microseconds; 0 if it does not rest.
+ */
+gint64 route_rest_wait_us(const struct route_replica *replica, gint64 now_us);
+
+/**
+ * route_notice_answered - handle a good answer of a replica
+ * @replica: a replica
+ * @sent_us: when its request was sent
+ */
+void route_notice_answered(struct route_replica *replica, gint64 sent_us);
+
 /**
  * route_notice_keep - keep what a replica said while it is not listed
  * @replica: a replica that is removed from its fleet
--- a/src/libroute/limit.c
+++ b/src/libroute/limit.c
@@ -128,15 +128,17 @@
 	return MAX(route_bucket_fill_time_us(&rate, 1 - bucket->tokens), 1);
 }
 
-gint64 route_pool_limit_wait_us(struct route_pool *pool, gint64 now_us)
+gint64 route_pool_wait_us(struct route_pool *pool, gint64 now_us)
 {
 	gint64 wait_us = G_MAXINT64;
 	struct route_replica *replica;
 
 	TAILQ_FOREACH (replica, &pool->replicas, link) {
-		if (route_replica_usable(replica, now_us))
-			wait_us = MIN(wait_us,
-				      route_limit_wait_us(replica, now_us));
+		if (!route_replica_usable(replica, now_us))
+			continue;
+		wait_us =
+			MIN(wait_us, MAX(route_limit_wait_us(replica, now_us),
+					 route_rest_wait_us(replica, now_us)));
 	}
 	return wait_us;
 }
--- a/src/libroute/notice.c
+++ b/src/libroute/notice.c
@@ -98,4 +98,16 @@
 
 	replica->notice.rest_until_us =
 		MAX(replica->notice.rest_until_us, until_us);
+	replica->notice.on_trial = true;
+}
+
+gint64 route_rest_wait_us(const struct route_replica *replica, gint64 now_us)
+{
+	return MAX(replica->notice.rest_until_us - now_us, 0);
+}
+
+void route_notice_answered(struct route_replica *replica, gint64 sent_us)
+{
+	if (sent_us >= replica->notice.rest_until_us)
+		replica->notice.on_trial = false;
 }
--- a/test/unit/net.c
+++ b/test/unit/net.c
@@ -175,6 +175,24 @@
 	}
 }
 
+void net_server_reply_one(struct net_server *server, const char *reply)
+{
+	const char *usual = server->reply;
+
+	for (guint i = 0; i < server->accepted->len; i++) {
+		struct server_connection *connection =
+			server->accepted->pdata[i];
+
+		if (connection->watch.fd < 0 || !has_request(connection))
+			continue;
+		server->reply = reply;
+		send_reply(connection);
+		server->reply = usual;
+		return;
+	}
+	ck_abort_msg("no request is held");
+}
+
 void net_server_send(struct net_server *server, const char *bytes, gsize length)
 {
 	for (guint i = 0; i < server->accepted->len; i++) {
--- a/test/unit/net.h
+++ b/test/unit/net.h
@@ -92,6 +92,9 @@
 /* Replies to all requests that a server with hold set has received. */
 void net_server_reply_held(struct net_server *server);
 
+/* Replies to the oldest connection's request of these, with @reply. */
+void net_server_reply_one(struct net_server *server, const char *reply);
+
 /* Sends bytes on all open connections, as far as the sockets take them. */
 void net_server_send(struct net_server *server, const char *bytes,
 		     gsize length);
--- a/test/unit/test_division.c
+++ b/test/unit/test_division.c
@@ -81,8 +81,7 @@
 
 			ck_assert_msg(allowed == (limits[i] > 1 && k > 0),
 				      "case %zu", i);
-			ck_assert_int_ge(
-				route_pool_limit_wait_us(pool, view.now), 0);
+			ck_assert_int_ge(route_pool_wait_us(pool, view.now), 0);
 			if (allowed)
 				view_run_attempt(&view, replica, ROUTE_ANSWERED,
 						 0);
--- a/test/unit/test_notice.c
+++ b/test/unit/test_notice.c
@@ -343,9 +343,187 @@
 }
 END_TEST
 
+/* Guards against a rest that is not granted, and against one that has no end.
+ */
+START_TEST(each_time_of_rest_is_granted_as_it_is_named)
+{
+	static const struct {
+		const char *answer;
+		gint64 ms; /* 0: none; else how long no request is sent */
+	} cases[] = {
+		{ASKS("3"), 3000},
+		{ASKS("0.7"), 700},
+		{ASKS("0"), 0},
+		{ASKS(".5"), 500},
+		{ASKS("-3"), 0},
+		{ASKS("+3"), 0},
+		{ASKS("1e9"), 0},
+		{ASKS("soon"), 0},
+		{ASKS("Wed, 21 Oct 2026 07:28:00 GMT"), 0},
+		{ASKS("2, 3"), 0},
+		{ASKS("2\r\nRest: 3"), 0},
+		{ASKS("1000000000"), 300000},
+		{ASKS("99999999999999999999"), 300000},
+		{ASKS("3\r\nTakes: 900"), 3000},
+		/* Without proof that it did not run. */
+		{ANSWER("503 Busy", "Rest: 3\r\n"), 3000},
+		{ANSWER("429 Busy", "Not-Run: 1\r\nRest: 3\r\n"), 0},
+		{ANSWER("200 OK", "Rest: 3\r\n"), 0},
+		{ANSWER("421 Other", "Rest: 3\r\n"), 0},
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture fixture;
+
+		fixture_open(&fixture);
+		remove_other(&fixture);
+		fixture.replicas[0]->reply = cases[i].answer;
+		ask_for(&fixture, "/once/");
+		fixture.replicas[0]->reply = GOOD;
+		if (strstr(cases[i].answer, " 421 ")) {
+			/* It is left out for another reason. */
+			ck_assert_uint_eq(
+				cs_counters_get(forward_engine_counters(
+							fixture.daemon.engine),
+						CS_N_NOTICE_REST),
+				0);
+			fixture_close(&fixture);
+			continue;
+		}
+		if (cases[i].ms) {
+			cs_clock_advance(fixture.net.clock,
+					 (cases[i].ms - 400) * CS_US_PER_MS);
+			ck_assert_msg(ask(&fixture) == 503, "case %zu", i);
+		}
+		net_advance(&fixture.net, 500);
+		ck_assert_msg(ask(&fixture) == 200, "case %zu", i);
+		fixture_close(&fixture);
+	}
+}
+END_TEST
+
+/* Guards against requests before the end of an earlier, longer rest, and after
+ * a good answer that was on its way. */
+START_TEST(the_latest_end_of_several_rests_holds)
+{
+	struct fixture fixture;
+	struct net_client *callers[3];
+
+	fixture_open(&fixture);
+	remove_other(&fixture);
+	fixture.replicas[0]->hold = true;
+	for (int i = 0; i < 3; i++) {
+		callers[i] = net_connect(&fixture.net,
+					 &fixture.daemon.settings.caller);
+		net_send(callers[i], "GET /once/ HTTP/1.1\r\nHost: h\r\n"
+				     "Id: r1\r\nWait: 900\r\n\r\n");
+		net_advance(&fixture.net, 20);
+	}
+	/* Three requests run; the first asks for longer than the second. */
+	net_server_reply_one(fixture.replicas[0], ASKS("3"));
+	net_server_reply_one(fixture.replicas[0], ASKS("1"));
+	net_server_reply_one(fixture.replicas[0], GOOD);
+	fixture.replicas[0]->hold = false;
+	net_run_until_idle(&fixture.net);
+	ck_assert_uint_eq(count_for(&fixture, 0, 2800), 0);
+	net_advance(&fixture.net, 200);
+	ck_assert_uint_gt(count_for(&fixture, 0, 200), 0);
+	for (int i = 0; i < 3; i++)
+		net_close(callers[i]);
+	fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against a burst at a replica whose rest has just ended: until it has
+ * answered, it gets one request at a time. */
+START_TEST(a_rested_replica_is_tried_with_one_request)
+{
+	struct fixture fixture;
+	struct net_client *callers[5];
+	const char *at;
+	guint n = 0;
+
+	fixture_open(&fixture);
+	remove_other(&fixture);
+	fixture.replicas[0]->reply = ASKS("1");
+	ask(&fixture);
+	fixture.replicas[0]->reply = GOOD;
+	net_advance(&fixture.net, 1000);
+	fixture.replicas[0]->hold = true;
+	g_string_truncate(fixture.replicas[0]->received, 0);
+	for (int i = 0; i < 5; i++) {
+		callers[i] = net_connect(&fixture.net,
+					 &fixture.daemon.settings.caller);
+		net_send(callers[i], "GET /one/ HTTP/1.1\r\nHost: h\r\n"
+				     "Id: r1\r\nWait: 900\r\n\r\n");
+	}
+	net_advance(&fixture.net, 10);
+	for (at = fixture.replicas[0]->received->str; (at = strstr(at, "GET "));
+	     at++)
+		n++;
+	ck_assert_uint_eq(n, 1);
+	fixture.replicas[0]->hold = false;
+	net_server_reply_held(fixture.replicas[0]);
+	net_advance(&fixture.net, 100);
+	for (int i = 0; i < 5; i++) {
+		net_read(callers[i]);
+		ck_assert(g_str_has_prefix(callers[i]->received->str,
+					   "HTTP/1.1 200"));
+		net_close(callers[i]);
+	}
+	fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against callers that wait in vain, or return before the rest ends, or
+ * all at its end. */
+START_TEST(with_resting_replicas_only_a_request_is_refused_until_their_end)
+{
+	struct fixture fixture;
+	double least = 1e9;
+	double most = 0;
+
+	fixture_open(&fixture);
+	remove_other(&fixture);
+	fixture.replicas[0]->reply = ASKS("3");
+	ask(&fixture);
+	for (int i = 0; i < 20; i++) {
+		struct net_client *caller = net_connect(
+			&fixture.net, &fixture.daemon.settings.caller);
+		const char *after;
+		double s;
+
+		net_send(caller, "GET /one/ HTTP/1.1\r\nHost: h\r\nId: r1\r\n"
+				 "Wait: 900\r\n\r\n");
+		net_run_until_idle(&fixture.net);
+		net_read(caller);
+		ck_assert(g_str_has_prefix(caller->received->str,
+					   "HTTP/1.1 503"));
+		after = strstr(caller->received->str, "Retry-After: ");
+		ck_assert_ptr_nonnull(after);
+		s = g_ascii_strtod(after + strlen("Retry-After: "), NULL);
+		least = MIN(least, s);
+		most = MAX(most, s);
+		net_close(caller);
+	}
+	ck_assert_double_ge(least, 2.9);
+	ck_assert_double_le(most, 3.5);
+	ck_assert_double_gt(most, least);
+	ck_assert_uint_eq(
+		cs_counters_get(forward_engine_counters(fixture.daemon.engine),
+				CS_N_NOTICE_REST),
+		1);
+	fixture_close(&fixture);
+}
+END_TEST
+
 UNIT_MAIN("notice", a_replica_that_says_it_leaves_gets_no_more_requests,
 	  each_answer_of_a_leaving_replica_counts,
 	  an_answer_that_nobody_waits_for_counts_too,
 	  a_leaving_replica_stays_so_until_it_starts_again,
 	  with_leaving_replicas_only_a_request_is_refused_at_once,
-	  a_replica_that_asks_for_rest_gets_no_requests_until_its_end)
+	  a_replica_that_asks_for_rest_gets_no_requests_until_its_end,
+	  each_time_of_rest_is_granted_as_it_is_named,
+	  the_latest_end_of_several_rests_holds,
+	  a_rested_replica_is_tried_with_one_request,
+	  with_resting_replicas_only_a_request_is_refused_until_their_end)
