forward: Do not hedge a query that no shard has answered yet

Cause: hedges ask whether an attempt is late, not whether all are. Replicas pause each at its own time; a query that is late everywhere is itself slow.

Change: a query over shards is hedged from its first answered part on.

Evidence: test_blocklist:a_query_without_any_answer_is_not_hedged fails before ("requests_of_shards(&cluster) == 6", 3 expected).

--- a/src/libforward/part.c
+++ b/src/libforward/part.c
@@ -338,6 +338,14 @@
 	forward_job_update(job);
 }
 
+/* Return: whether a query has no answer from any shard yet. Replicas are slow
+ * independently of each other, so the query itself takes long: a second copy
+ * would take as long, or crash as many replicas. */
+static bool all_parts_late(const struct forward_job *job)
+{
+	return job->n_parts > 1 && !job->n_done;
+}
+
 static void send_hedge(struct forward_part *part,
 		       struct forward_attempt *attempt, gint64 now)
 {
@@ -349,7 +357,7 @@
 	if (!job->route->idempotent || job->relaying || !may_send(part) ||
 	    TAILQ_NEXT(TAILQ_FIRST(&part->attempts), link))
 		return;
-	if (forward_blocklist_suspects(job)) {
+	if (forward_blocklist_suspects(job) || all_parts_late(job)) {
 		attempt->hedge_due_us = now + HEDGE_RETRY_US;
 		return;
 	}
--- a/test/unit/test_blocklist.c
+++ b/test/unit/test_blocklist.c
@@ -243,6 +243,45 @@
 }
 END_TEST
 
+/* Return: requests that reached the replicas of the shards. */
+static guint requests_of_shards(const struct cluster *cluster)
+{
+	guint n = 0;
+
+	for (guint i = 0; i < 2 * SHARDS; i++)
+		n += cluster->replicas[i].server->received->len > 0;
+	return n;
+}
+
+/* Guards against the loss of twice as many replicas: a query that takes long
+ * everywhere before it crashes them is hedged at every shard. */
+START_TEST(a_query_without_any_answer_is_not_hedged)
+{
+	for (guint answering = 0; answering < 2; answering++) {
+		struct cluster cluster;
+		struct net_client *caller;
+
+		cluster_create(&cluster);
+		cluster_run(&cluster, 1000);
+		for (guint i = 0; i < 2 * SHARDS; i++)
+			cluster.replicas[i].silent = true;
+		caller = net_connect(&cluster.net,
+				     &cluster.daemons[4].settings.caller);
+		net_send(caller, GET("/all/", ""));
+		net_advance(&cluster.net, 20);
+		ck_assert_uint_eq(requests_of_shards(&cluster), SHARDS);
+		for (guint i = 0; i < 2 && answering; i++)
+			net_server_reply_held(cluster.replicas[i].server);
+		net_advance(&cluster.net, 150);
+		/* With one answer, the others are late. */
+		ck_assert_uint_eq(requests_of_shards(&cluster),
+				  answering ? 2 * SHARDS - 1 : SHARDS);
+		net_close(caller);
+		cluster_destroy(&cluster);
+	}
+}
+END_TEST
+
 /* Return: new text: what a daemon's operators' address answers. */
 static char *ask_operators(struct cluster *cluster, guint daemon,
 			   const char *line)
@@ -631,6 +670,7 @@
 	  a_request_is_the_same_however_its_body_is_sent,
 	  a_request_that_runs_beside_a_crash_is_not_blocked,
 	  a_suspected_query_is_sent_to_one_shard_first,
+	  a_query_without_any_answer_is_not_hedged,
 	  an_operator_lists_and_clears_a_blocked_request,
 	  connections_that_are_reset_block_nothing,
 	  crashes_that_three_daemons_saw_add_up,
