--- a/src/libforward/blocklist.c
+++ b/src/libforward/blocklist.c
@@ -219,8 +219,8 @@
 	struct forward_engine *engine = job->engine;
 	const struct route_digest *digest;
 	guint n_crashes;
-	guint limit = part->n_tried ? CRASHES_TO_STOP_REPEATS
-				    : ROUTE_CRASHES_TO_BLOCK;
+	guint limit = part->n_sent ? CRASHES_TO_STOP_REPEATS
+				   : ROUTE_CRASHES_TO_BLOCK;
 
 	if (job->n_done || job->relaying ||
 	    (!job->n_lost && !route_blocklist_active(engine->blocklist)))
@@ -229,7 +229,7 @@
 	    job->parts[0].state != PART_FAILED)
 		return FORWARD_HOLD;
 	if (job->probe)
-		return part->n_tried ? FORWARD_STOP : FORWARD_GO;
+		return part->n_sent ? FORWARD_STOP : FORWARD_GO;
 	digest = forward_job_digest(job);
 	n_crashes = route_blocklist_crashes(engine->blocklist, digest);
 	if (n_crashes >= limit)
