forward: Tell of the first crash under a request at once

Cause: a daemon called its seed at once only when it blocked a request, at three crashes; one crash was told with the next regular call, up to a second later. Of one copy two count at most, so a first copy never is urgent.

Change: each crash that is new is told at once; at most one call in 0.1 s, as before. The next copy then goes to one shard first, wherever it comes to.

What is left: copies that are on their way before the first crash, and attempts of a copy that has failed.

--- a/src/libforward/blocklist.c
+++ b/src/libforward/blocklist.c
@@ -126,7 +126,7 @@
 		return;
 	after = route_blocklist_crashes(engine->blocklist, digest);
 	log_transition(engine, digest, before, "crash");
-	own_list_changed(engine, is_blocked(after) && !is_blocked(before));
+	own_list_changed(engine, after > before);
 }
 
 static bool clear(struct forward_engine *engine,
--- a/test/unit/test_blocklist.c
+++ b/test/unit/test_blocklist.c
@@ -300,6 +300,28 @@
 	return answer;
 }
 
+/* Guards against each daemon finding out by a crash of its own: the first one
+ * is told at once. */
+START_TEST(all_daemons_know_of_a_crash_within_a_fifth_of_a_second)
+{
+	struct cluster cluster;
+
+	cluster_create(&cluster);
+	cluster_run(&cluster, 1000);
+	ck_assert_uint_eq(cluster_ask(&cluster, 3, "/once" DEADLY), 502);
+	cluster_run(&cluster, 200);
+	ck_assert_uint_eq(cluster.crashes->len, 1);
+	for (guint i = 0; i < DAEMONS; i++) {
+		g_autofree char *page =
+			ask_operators(&cluster, i, "GET /v1/blocked");
+
+		ck_assert_msg(strstr(page, "\"crashes\":1") != NULL,
+			      "daemon %u: %s", i, page);
+	}
+	cluster_destroy(&cluster);
+}
+END_TEST
+
 START_TEST(an_operator_lists_and_clears_a_blocked_request)
 {
 	struct cluster cluster;
@@ -671,6 +693,7 @@
 	  a_request_that_runs_beside_a_crash_is_not_blocked,
 	  a_suspected_query_is_sent_to_one_shard_first,
 	  a_query_without_any_answer_is_not_hedged,
+	  all_daemons_know_of_a_crash_within_a_fifth_of_a_second,
 	  an_operator_lists_and_clears_a_blocked_request,
 	  connections_that_are_reset_block_nothing,
 	  crashes_that_three_daemons_saw_add_up,
