forward: Abort the attempts of a query that has failed by crashes

Change: the attempts of an idempotent request under which replicas have crashed are ended with it; most replicas drop a request whose connection closes.

--- a/src/libforward/job.c
+++ b/src/libforward/job.c
@@ -93,7 +93,11 @@
 	log_missing(job);
 	keep_digest(job);
 	forward_refuse(job, code);
-	free_job(job, FORWARD_DRAIN_US);
+	/* The other attempts of a request that crashes replicas would end more
+	 * of them. */
+	free_job(job, job->route->idempotent && forward_blocklist_suspects(job)
+			      ? 0
+			      : FORWARD_DRAIN_US);
 }
 
 void forward_job_abandon(struct forward_job *job)
--- a/test/unit/test_blocklist.c
+++ b/test/unit/test_blocklist.c
@@ -322,6 +322,26 @@
 }
 END_TEST
 
+/* Guards against the loss of the other shards' replicas: the attempts of a
+ * query that has failed by crashes are not needed any more. */
+START_TEST(a_query_that_fails_by_crashes_is_not_left_running)
+{
+	struct cluster cluster;
+	guint n = 0;
+
+	cluster_create(&cluster);
+	cluster_run(&cluster, 1000);
+	for (guint i = 4; i < 2 * SHARDS; i++)
+		cluster.replicas[i].silent = true;
+	ck_assert_uint_eq(cluster_ask(&cluster, 4, "/all" DEADLY), 502);
+	net_advance(&cluster.net, 20);
+	for (guint i = 4; i < 2 * SHARDS; i++)
+		n += cluster.replicas[i].server->n_open;
+	ck_assert_uint_eq(n, 0);
+	cluster_destroy(&cluster);
+}
+END_TEST
+
 START_TEST(an_operator_lists_and_clears_a_blocked_request)
 {
 	struct cluster cluster;
@@ -693,6 +713,7 @@
 	  a_request_that_runs_beside_a_crash_is_not_blocked,
 	  a_suspected_query_is_sent_to_one_shard_first,
 	  a_query_without_any_answer_is_not_hedged,
+	  a_query_that_fails_by_crashes_is_not_left_running,
 	  all_daemons_know_of_a_crash_within_a_fifth_of_a_second,
 	  an_operator_lists_and_clears_a_blocked_request,
 	  connections_that_are_reset_block_nothing,
