forward: Keep what a failed query tells of crashes; hold its parts longer

Cause: the parts that wait for the first one of a suspected query failed after a quarter of the objective, 38 ms, as if they had waited for a slot. The query then failed, its first attempt was aborted, and the crash that came some milliseconds later was seen by nobody.

Change: attempts are aborted with their job only if as many crashes of this copy are known as count; else they are awaited as before, and their crash is found. Parts that are held wait up to the objective: an innocent query has its answer by then.

--- a/include/cuminsail/route_blocklist.h
+++ b/include/cuminsail/route_blocklist.h
@@ -116,6 +116,18 @@
 bool route_blocklist_clear(struct route_blocklist *list,
 			   const struct route_digest *digest, gint64 now_us);
 
+/**
+ * route_blocklist_copy_counted - whether no more crashes of a copy count
+ * @list: a list
+ * @digest: the request
+ * @copy: number of the copy, as in route_blocklist_crashed()
+ *
+ * Return: true if ROUTE_CRASHES_OF_COPY of its crashes were counted.
+ */
+bool route_blocklist_copy_counted(const struct route_blocklist *list,
+				  const struct route_digest *digest,
+				  guint32 copy);
+
 /**
  * route_blocklist_crashes - number of crashes that count for a request
  * @list: a list
--- a/src/libforward/blocklist.c
+++ b/src/libforward/blocklist.c
@@ -202,6 +202,14 @@
 	return true;
 }
 
+bool forward_blocklist_condemns(struct forward_job *job)
+{
+	return job->n_lost && !job->n_done && job->route->idempotent &&
+	       route_blocklist_copy_counted(job->engine->blocklist,
+					    forward_job_digest(job),
+					    job->number);
+}
+
 bool forward_blocklist_suspects(struct forward_job *job)
 {
 	const struct route_digest *digest;
@@ -219,8 +227,8 @@
 	struct forward_engine *engine = job->engine;
 	const struct route_digest *digest;
 	guint n_crashes;
-	guint limit = part->n_sent ? CRASHES_TO_STOP_REPEATS
-				   : ROUTE_CRASHES_TO_BLOCK;
+	guint limit =
+		part->n_sent ? CRASHES_TO_STOP_REPEATS : ROUTE_CRASHES_TO_BLOCK;
 
 	if (job->n_done || job->relaying ||
 	    (!job->n_lost && !route_blocklist_active(engine->blocklist)))
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -72,6 +72,7 @@
 	struct forward_answer *failure; /* sent if no better answer arrives */
 	struct forward_answer *answer;
 	gint64 waiting_since_us;
+	bool held; /* it waits for another part, or for a crash check */
 	enum {
 		PART_OPEN,
 		PART_WAITING, /* no replica has a free slot */
@@ -462,6 +463,10 @@
  * checked. */
 bool forward_blocklist_suspects(struct forward_job *job);
 
+/* Return: whether the job's other attempts would only end more replicas: as
+ * many of its crashes as count are known. */
+bool forward_blocklist_condemns(struct forward_job *job);
+
 /* Whether a part may be sent to another replica. */
 enum forward_verdict {
 	FORWARD_GO,
--- a/src/libforward/job.c
+++ b/src/libforward/job.c
@@ -93,11 +93,7 @@
 	log_missing(job);
 	keep_digest(job);
 	forward_refuse(job, code);
-	/* The other attempts of a request that crashes replicas would end more
-	 * of them. */
-	free_job(job, job->route->idempotent && forward_blocklist_suspects(job)
-			      ? 0
-			      : FORWARD_DRAIN_US);
+	free_job(job, forward_blocklist_condemns(job) ? 0 : FORWARD_DRAIN_US);
 }
 
 void forward_job_abandon(struct forward_job *job)
--- a/src/libforward/part.c
+++ b/src/libforward/part.c
@@ -15,8 +15,10 @@
  * capacity for it: the time in which a connection is established. */
 #define HEDGE_RETRY_US (8 * CS_US_PER_MS)
 
-/* Longest wait of a part for a free slot, as a share of the job's objective. */
+/* Longest wait of a part, as a share of the job's objective: for a free slot,
+ * and for another part of a suspected query, which may be innocent. */
 #define WAIT_MAX_SHARE 0.25
+#define HOLD_MAX_SHARE 1.0
 
 void forward_part_log(const struct forward_part *part, const char *event,
 		      const char *reason, const struct route_replica *replica,
@@ -73,10 +75,12 @@
 	return false;
 }
 
-/* Return: longest wait of a part of the job for a free slot. */
-static gint64 wait_max(const struct forward_job *job)
+/* Return: longest wait of a part. */
+static gint64 wait_max(const struct forward_part *part)
 {
-	return (gint64)(WAIT_MAX_SHARE *
+	const struct forward_job *job = part->job;
+
+	return (gint64)((part->held ? HOLD_MAX_SHARE : WAIT_MAX_SHARE) *
 			(double)(job->objective_us - job->started_us));
 }
 
@@ -87,7 +91,7 @@
 
 	if (!since_us)
 		since_us = forward_now(part->job->engine);
-	return since_us + wait_max(part->job);
+	return since_us + wait_max(part);
 }
 
 struct route_replica *forward_part_choose(struct forward_part *part,
@@ -173,6 +177,7 @@
 	case FORWARD_GO:
 		break;
 	case FORWARD_HOLD:
+		part->held = true;
 		if (part->state != PART_WAITING)
 			enqueue_waiting(part, "crash-check");
 		return;
@@ -180,6 +185,7 @@
 		fail_part(part, part->reason ? part->reason : CS_E_BLOCKED);
 		return;
 	}
+	part->held = false;
 	replica = forward_part_choose(part, &unavailable);
 	if (replica && send_to(part, replica))
 		dequeue_waiting(part);
--- a/src/libroute/blocklist.c
+++ b/src/libroute/blocklist.c
@@ -201,6 +201,16 @@
 	return true;
 }
 
+bool route_blocklist_copy_counted(const struct route_blocklist *list,
+				  const struct route_digest *digest,
+				  guint32 copy)
+{
+	const struct route_block *block = find_block(list, digest);
+
+	return block && block->copy == copy &&
+	       block->n_of_copy >= ROUTE_CRASHES_OF_COPY;
+}
+
 guint route_blocklist_crashes(const struct route_blocklist *list,
 			      const struct route_digest *digest)
 {
