forward: Send a suspected query to one shard, whichever has replicas

Cause: the other parts were held only as long as the first one had not failed, for whatever reason.

Change: the first part that has not failed is sent, the others are held until one answers.

--- a/src/libforward/blocklist.c
+++ b/src/libforward/blocklist.c
@@ -221,6 +221,17 @@
 	       forward_crashes_pending(job->engine, digest);
 }
 
+/* Return: the part of a suspected query that is sent before the others: the
+ * first one that has not failed. */
+static const struct forward_part *first_part(const struct forward_job *job)
+{
+	for (guint i = 0; i < job->n_parts; i++) {
+		if (job->parts[i].state != PART_FAILED)
+			return &job->parts[i];
+	}
+	return NULL;
+}
+
 enum forward_verdict forward_blocklist_judge(struct forward_part *part)
 {
 	struct forward_job *job = part->job;
@@ -233,8 +244,7 @@
 	if (job->n_done || job->relaying ||
 	    (!job->n_lost && !route_blocklist_active(engine->blocklist)))
 		return FORWARD_GO;
-	if (job->suspected && part != job->parts &&
-	    job->parts[0].state != PART_FAILED)
+	if (job->suspected && part != first_part(job))
 		return FORWARD_HOLD;
 	if (job->probe)
 		return part->n_sent ? FORWARD_STOP : FORWARD_GO;
--- a/test/unit/test_blocklist.c
+++ b/test/unit/test_blocklist.c
@@ -243,6 +243,32 @@
 }
 END_TEST
 
+/* Guards against a suspected query being sent to all shards because its first
+ * shard has no replica. */
+START_TEST(a_suspected_query_is_sent_to_one_shard_also_without_the_first)
+{
+	struct cluster cluster;
+	struct net_client *caller;
+
+	cluster_create(&cluster);
+	for (guint i = 2; i < 2 * SHARDS; i++)
+		cluster.replicas[i].silent = true;
+	cluster_run(&cluster, 1000);
+	cluster_ask(&cluster, 4, "/all" DEADLY);
+	cluster_run(&cluster, 1000);
+	/* The replicas of f0 are down. */
+	ck_assert_uint_eq(cluster.crashes->len, 2);
+	for (guint i = 2; i < 2 * SHARDS; i++)
+		g_string_truncate(cluster.replicas[i].server->received, 0);
+	caller = net_connect(&cluster.net, &cluster.daemons[5].settings.caller);
+	net_send(caller, GET("/all" DEADLY, ""));
+	net_advance(&cluster.net, 40);
+	ck_assert_uint_eq(requests_of_other_shards(&cluster), 1);
+	net_close(caller);
+	cluster_destroy(&cluster);
+}
+END_TEST
+
 /* Return: requests that reached the replicas of the shards. */
 static guint requests_of_shards(const struct cluster *cluster)
 {
@@ -712,6 +738,7 @@
 	  a_request_is_the_same_however_its_body_is_sent,
 	  a_request_that_runs_beside_a_crash_is_not_blocked,
 	  a_suspected_query_is_sent_to_one_shard_first,
+	  a_suspected_query_is_sent_to_one_shard_also_without_the_first,
 	  a_query_without_any_answer_is_not_hedged,
 	  a_query_that_fails_by_crashes_is_not_left_running,
 	  all_daemons_know_of_a_crash_within_a_fifth_of_a_second,
