forward: Pass news of crashes on within 10 to 20 ms

Cause: a daemon calls its seed at most once in 100 ms, and a seed collects changes for 50 ms before it answers held calls. A call that had just begun delayed the news by both.

Change: 20 ms and 10 ms. A request has at most three changes to tell, so calls stay few.

--- a/src/libforward/follow.c
+++ b/src/libforward/follow.c
@@ -36,7 +36,7 @@
 #define SPREAD_INTERVAL_US (200 * CS_US_PER_MS)
 
 /* Shortest time between two calls that do not wait for their turn. */
-#define CALL_NOW_INTERVAL_US (100 * CS_US_PER_MS)
+#define CALL_NOW_INTERVAL_US (20 * CS_US_PER_MS)
 
 /* Delay before the next call once all seeds have failed, and between the calls
  * of a seed whose own routing view is outdated: these may be answered at once.
--- a/src/libforward/peers.c
+++ b/src/libforward/peers.c
@@ -37,7 +37,7 @@
 #define HOLD_BLOCKLIST_US (500 * CS_US_PER_MS)
 
 /* How long changes of the blocklist are collected before callers are told. */
-#define BLOCKLIST_DELAY_US (50 * CS_US_PER_MS)
+#define BLOCKLIST_DELAY_US (10 * CS_US_PER_MS)
 
 /* What a call says of its caller. */
 struct follower {
