soak: Let the store return from older copies; replicas leave by their word, or rest

Three rules: a replica that has said on a connection that it leaves gets no further request on it; one that has asked for rest on a connection none before the end; the version in force at a daemon never falls while its process runs and is the last one written at the end.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -20,12 +20,21 @@
             in each window of LIMIT_WINDOW_S
   deadly    a request that crashes the replicas that run it is sent to at most
             DEADLY_MORE more, later than DEADLY_CONTACT_S after the third crash
+  leaving   a replica that has said on a connection that it leaves gets no
+            further request on it
+  rest      a replica that has asked for rest on a connection gets no request
+            on it until REST_S later
+  version   the version of the configuration in force at a daemon never falls
+            while its process runs, and is the last one written at the end
   recover   of the requests sent later than 4 s after the last fault and
             answered, at least 90 % succeed
   ends      no daemon exits by itself; after SIGTERM it exits with status 0
 
 Usage: soak.py DAEMON [--seed N] [--runs N] [--seconds S] [--daemons N]
-               [--logs DIR]
+               [--logs DIR] [--beside DAEMON]
+
+With --beside every other daemon runs another build, whose versions are not
+checked.
 """
 import argparse
 import asyncio
@@ -52,6 +61,8 @@
 LIMIT_PER_S, LIMIT_FACTOR, LIMIT_SLACK = 10, 1.5, 5
 LIMIT_CONTACT_S, LIMIT_WINDOW_S = 5, 4
 # A body that crashes replicas, and how many crash before it is blocked.
+# The rest that a replica asks for, and how long one that leaves serves on.
+REST_S, LEAVING_S = 1.5, 2.5
 DEADLY, DEADLY_CRASHES, DEADLY_MORE, DEADLY_CONTACT_S = "deadly", 3, 3, 5
 
 
@@ -66,7 +77,7 @@
 
     def __init__(self):
         self.items, self.history, self.revision = {}, [], 1
-        self.oldest = 0
+        self.oldest, self.era, self.log = 0, 1, []
         self.changed = asyncio.Event()
         self.refuse = False
 
@@ -82,6 +93,19 @@
             event["value"] = base64.b64encode(text).decode()
             self.items[key] = event
         self.history.append(event)
+        self.log.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def restore(self, n_lost):
+        """Go back to an older copy: the last n_lost changes are lost."""
+        self.log = self.log[:max(len(self.log) - n_lost, 1)]
+        self.revision = self.oldest = self.log[-1]["revision"]
+        self.items, self.history = {}, []
+        for event in self.log:
+            self.items[event["key"]] = event
+        self.items = {k: e for k, e in self.items.items() if "value" in e}
+        self.era += 1
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -98,15 +122,17 @@
             body = {"items": list(self.items.values()), "hasMore": False,
                     "storeRevision": self.revision}
             return 200, json.dumps(body).encode()
-        after = int(query["after"])
-        if after < self.oldest:
+        after, era = int(query["after"]), self.era
+        if after < self.oldest or after > self.revision:
             return 410, b""
-        if after >= self.revision:
+        if after == self.revision:
             try:
                 await asyncio.wait_for(self.changed.wait(),
                                        int(query["waitMs"]) / 1000)
             except asyncio.TimeoutError:
                 pass
+        if self.era != era:
+            return 410, b""
         events = [e for e in self.history if e["revision"] > after]
         body = {"events": events, "storeRevision": self.revision}
         return 200, json.dumps(body).encode()
@@ -151,6 +177,7 @@
         self.testbed, self.service, self.port = testbed, service, port
         self.id = f"i-{service}-{port}-{testbed.random.randrange(10**6)}"
         self.fault, self.pause_until = None, 0
+        self.state, self.leaving = "ready", False
         self.limited, self.named_at, self.arrived = False, None, []
         self.server = None
 
@@ -161,6 +188,7 @@
 
     def register(self, state):
         """Write the replica's entry, with its proxy address, to the store."""
+        self.state = state
         self.testbed.sequence += 1
         self.testbed.store.put(f"servers/{self.id}", {
             "service": self.service, "zone": self.testbed.zone_of(self.port),
@@ -169,19 +197,26 @@
             "sequence": self.testbed.sequence, "born": 1})
 
     async def serve(self, reader, writer):
+        # What this end has said on the connection: that it leaves, and the
+        # end of the rest that it asked for.
+        said = {"leaving": False, "rest_until": 0}
         while True:
             message = await read_message(reader)
             if not message:
                 break
+            if said["leaving"]:
+                self.testbed.breach("leaving", f"{self.id} got a request")
+            if time.monotonic() < said["rest_until"] - 0.02:
+                self.testbed.breach("rest", f"{self.id} got a request")
             try:
-                if not await self.answer(message, writer):
+                if not await self.answer(message, writer, said):
                     break
                 await writer.drain()
             except ConnectionError:
                 break
         writer.close()
 
-    async def answer(self, message, writer):
+    async def answer(self, message, writer, said):
         """Answer one request; return whether the connection stays open."""
         line, headers, body = message
         testbed, request_id = self.testbed, headers.get("request-id", "")
@@ -195,6 +230,12 @@
             writer.write(answer_bytes(503, {"Not-Executed": "1",
                                             "Request-Id": request_id}, b""))
             return True
+        if fault == "rest":
+            said["rest_until"] = time.monotonic() + REST_S
+            writer.write(answer_bytes(503, {
+                "Not-Executed": "1", "Request-Id": request_id,
+                "Retry-After": str(REST_S)}, b""))
+            return True
         path = line.split()[1]
         testbed.record_run(request_id, self.service, path)
         await asyncio.sleep(max(self.pause_until - time.monotonic(), 0) +
@@ -215,6 +256,9 @@
         if self.limited:
             names["Server-Limit"] = str(LIMIT_PER_S)
             self.named_at = self.named_at or time.monotonic()
+        if self.leaving:
+            names["Server-Leaving"] = "1"
+            said["leaving"] = True
         whole = answer_bytes(200, names, out)
         if fault == "truncate":
             writer.write(whole[:-3])
@@ -282,6 +326,8 @@
     def __init__(self, testbed, number):
         self.testbed, self.number = testbed, number
         self.ip = f"127.0.0.{10 + number}"
+        self.is_other = bool(testbed.beside) and number % 2 == 1
+        self.program = testbed.beside if self.is_other else testbed.program
         self.process, self.expect_exit = None, False
         self.path = os.path.join(testbed.directory, f"settings-{number}.json")
         self.log = open(os.path.join(testbed.directory,
@@ -305,7 +351,7 @@
     async def start(self):
         self.expect_exit = False
         self.process = await asyncio.create_subprocess_exec(
-            self.testbed.program, "--forward", self.path, stdout=self.log,
+            self.program, "--forward", self.path, stdout=self.log,
             stderr=self.log)
         asyncio.create_task(self.watch(self.process))
 
@@ -342,8 +388,10 @@
     above.
     """
 
-    def __init__(self, program, seed, seconds, directory, daemons=3):
+    def __init__(self, program, seed, seconds, directory, daemons=3,
+                 beside=None):
         self.program, self.seed, self.seconds = program, seed, seconds
+        self.beside = beside
         self.directory, self.n_daemons = directory, daemons
         self.random = random.Random(seed)
         # Below the kernel's range of ephemeral ports: an outgoing connection
@@ -358,6 +406,7 @@
         self.replicas, self.proxies, self.seed_proxies = [], [], []
         self.stopping, self.servers = False, []
         self.crashes, self.restarts = [], []
+        self.newest, self.seen = None, {}
 
     def breach(self, rule, text):
         self.breaches.append(f"{rule}: {text}")
@@ -387,14 +436,32 @@
                        routeType="non_idempotent", service=UNSAFE_SERVICE)]
         services = [{"name": s, "maxConnections": 60, "warmupPerS": 0}
                     for s in self.shards + [UNSAFE_SERVICE]]
-        self.store.put("op/config", {"version": self.version, "routes": routes,
-                                     "services": services})
+        self.newest = {"version": self.version, "routes": routes,
+                       "services": services}
+        self.store.put("op/config", self.newest)
+
+    async def restore_store(self):
+        """Let the store return from an older copy. What was lost is written
+        again: by the operator at once, by the replicas a little later; the
+        entries of replicas that have gone lapse."""
+        self.store.restore(self.random.randrange(1, 30))
+        await asyncio.sleep(self.random.uniform(0, 0.3))
+        self.store.put("op/config", self.newest)
+        await asyncio.sleep(self.random.uniform(0, 0.8))
+        for replica in list(self.replicas):
+            replica.register(replica.state)
+        await asyncio.sleep(0.5)
+        alive = {f"servers/{r.id}" for r in self.replicas}
+        for key in [k for k in self.store.items if k.startswith("servers/")]:
+            if key not in alive:
+                self.store.put(key, None)
 
     async def serve_store(self, reader, writer):
         try:
             while message := await read_message(reader):
                 status, body = await self.store.answer(message[0].split()[1])
-                writer.write(answer_bytes(status, {}, body))
+                writer.write(answer_bytes(
+                    status, {"Store-Era": str(self.store.era)}, body))
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
             pass  # the daemon closed the connection, or the run has ended
@@ -514,7 +581,8 @@
                             self.seed_proxies * 3)
         kind = pick.choice(["proxy", "proxy", "reset", "suspend", "kill",
                             "term", "hup", "replica", "replica", "pause",
-                            "crash", "drain", "config", "compact", "refuse"])
+                            "crash", "drain", "config", "compact", "refuse",
+                            "restore", "restore", "leave"])
         if kind == "proxy":
             proxy.mode = pick.choice(["slow", "silent", "one-way"])
             await asyncio.sleep(span)
@@ -534,7 +602,7 @@
             daemon.send_signal(signal.SIGHUP)
         elif kind == "replica":
             replica.fault = pick.choice(["refuse", "lose", "truncate",
-                                         "duplicate", "surplus"])
+                                         "duplicate", "surplus", "rest"])
             await asyncio.sleep(span)
             replica.fault = None
         elif kind == "pause":
@@ -545,11 +613,65 @@
             self.publish()
         elif kind == "compact":
             self.store.compact()
+        elif kind == "restore":
+            await self.restore_store()
+        elif kind == "leave":
+            await self.leave(replica)
         elif kind == "refuse":
             self.store.refuse = True
             await asyncio.sleep(span)
             self.store.refuse = False
 
+    async def leave(self, replica):
+        """A replica says in its answers that it leaves, not to the store."""
+        if replica.limited or replica.leaving:
+            return
+        replica.leaving = True
+        await asyncio.sleep(LEAVING_S)
+        await self.replace(replica, False)
+
+    async def watch_versions(self):
+        """Check the rule "version" while the daemons run."""
+        while not self.stopping:
+            for daemon in self.daemons:
+                process = daemon.process
+                version = await self.version_of(daemon)
+                before = self.seen.get(process, 0)
+                if version is None or process != daemon.process or \
+                        daemon.is_other:
+                    continue
+                if version < before:
+                    self.breach("version", f"daemon {daemon.number}: {version} "
+                                f"after {before}")
+                self.seen[process] = max(version, before)
+            await asyncio.sleep(0.2)
+
+    async def version_of(self, daemon):
+        """Return the version in force at a daemon, or None."""
+        writer = None
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(daemon.ip, self.base + 3), 0.5)
+            writer.write(b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n")
+            message = await asyncio.wait_for(read_message(reader), 0.5)
+        except (OSError, asyncio.TimeoutError):
+            return None
+        finally:
+            if writer:
+                writer.close()
+        for line in (message[2] if message else b"").split(b"\n"):
+            if line.startswith(b"cuminsail_table_version "):
+                return int(line.split()[1])
+        return None
+
+    async def check_versions(self):
+        """Check the rule "version" at the end."""
+        for daemon in self.daemons:
+            version = await self.version_of(daemon)
+            if version != self.version and not daemon.is_other:
+                self.breach("version", f"daemon {daemon.number}: {version}, "
+                            f"{self.version} was written")
+
     async def replace(self, old, drain):
         """Replace a replica by a new one of its service at its address."""
         if old not in self.replicas or old.limited:
@@ -649,6 +771,7 @@
         await self.start()
         callers = [asyncio.create_task(self.run_caller())
                    for _ in range(max(8, self.n_daemons))]
+        watch = asyncio.create_task(self.watch_versions())
         end, faults = time.monotonic() + self.seconds, []
         while time.monotonic() < end:
             faults.append(asyncio.create_task(self.inject_fault()))
@@ -659,7 +782,9 @@
         await asyncio.sleep(4)
         faults_ended = time.monotonic()
         await asyncio.sleep(2)
+        await self.check_versions()
         self.stopping = True
+        await watch
         await asyncio.gather(*callers)
         await asyncio.gather(*(d.stop(signal.SIGTERM) for d in self.daemons))
         for listener in self.replicas + self.proxies + self.seed_proxies + \
@@ -683,13 +808,14 @@
     parser.add_argument("--seconds", type=float, default=8)
     parser.add_argument("--daemons", type=int, default=3)
     parser.add_argument("--logs", default=None)
+    parser.add_argument("--beside", default=None)
     args = parser.parse_args()
     failed = 0
     for seed in range(args.seed, args.seed + args.runs):
         directory = args.logs or tempfile.mkdtemp(prefix="soak-")
         os.makedirs(directory, exist_ok=True)
         testbed = Testbed(args.program, seed, args.seconds, directory,
-                          args.daemons)
+                          args.daemons, args.beside)
         n_requests = asyncio.run(testbed.run())
         served = sum(r["status"] == 200 for r in testbed.requests)
         print(f"seed {seed}: {n_requests} requests, {served} served, "
