Review: One function for repeated header fields; an interrupted settling; names

Found by reading the diff as a newcomer: - Fields that may be repeated by mistake were collected by two copies of one function: http1_message_values(). - A range that was to settle a history, and was overtaken by a peer's view, left the reader believing that the next watch had settled it.

--- a/include/cuminsail/http1.h
+++ b/include/cuminsail/http1.h
@@ -161,6 +161,18 @@
 						    void *user),
 				      void *user);
 
+/**
+ * http1_message_values - look up an end-to-end header field, counting repeats
+ * @message: a message
+ * @name: header name, compared case-insensitively
+ * @last: set to the value of the last field of that name, owned by @message;
+ *	unchanged if there is none
+ *
+ * Return: the number of fields of that name.
+ */
+guint http1_message_values(const struct http1_message *message,
+			   const char *name, const char **last);
+
 /** Memory for the bodies of all messages with the same limits. */
 struct http1_memory {
 	gsize used;
@@ -490,8 +502,8 @@
 /**
  * http1_client_set_interim - set a callback for interim answers
  * @client: a connection
- * @interim: called with each interim answer and the user of the other
- *callbacks; must not close the connection
+ * @interim: called with each interim answer, and the argument of the other
+ *	callbacks; must not close the connection
  */
 void http1_client_set_interim(
 	struct http1_client *client,
--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -467,6 +467,14 @@
  */
 bool route_replica_usable(const struct route_replica *replica, gint64 now_us);
 
+/**
+ * route_replica_leaves - whether a replica leaves
+ * @replica: a replica
+ *
+ * Return: true if its entry says so, or it has said so itself.
+ */
+bool route_replica_leaves(const struct route_replica *replica);
+
 /**
  * route_replica_connections - connections this daemon may have to a replica
  * @replica: a replica in a pool
--- a/src/libforward/crashes.c
+++ b/src/libforward/crashes.c
@@ -215,7 +215,7 @@
 
 	/* A replica that leaves cuts what is left when it exits; without
 	 * contact nothing can be found out. */
-	if (replica->leaving || replica->notice.leaving || !replica->pool ||
+	if (route_replica_leaves(replica) || !replica->pool ||
 	    !forward_contact_exists(engine->contact))
 		return;
 	if (!check && n_checks < CHECKS_MAX)
--- a/src/libforward/message.c
+++ b/src/libforward/message.c
@@ -119,43 +119,19 @@
 	return digits && !*rest;
 }
 
-struct value_list {
-	const char *name;
-	const char *value; /* of the last line with this name */
-	guint n;
-};
-
-static void collect_value(const char *name, const char *value, void *user)
-{
-	struct value_list *list = user;
-
-	if (g_ascii_strcasecmp(name, list->name) != 0)
-		return;
-	list->value = value;
-	list->n++;
-}
-
-static struct value_list collect_values(const struct http1_message *message,
-					const char *name)
-{
-	struct value_list list = {.name = name};
-
-	http1_message_foreach_end_to_end(message, collect_value, &list);
-	return list;
-}
-
 struct forward_rate_limit forward_read_rate_limit(
 	const struct forward_dialect *dialect,
 	const struct http1_message *message)
 {
-	struct value_list list = collect_values(message, dialect->rate_limit);
+	const char *value;
+	guint n = http1_message_values(message, dialect->rate_limit, &value);
 	double per_s;
 
-	if (!list.n)
+	if (!n)
 		return (struct forward_rate_limit){FORWARD_LIMIT_ABSENT, 0};
-	if (list.n > 1 || !is_decimal(list.value))
+	if (n > 1 || !is_decimal(value))
 		return (struct forward_rate_limit){FORWARD_LIMIT_INVALID, 0};
-	per_s = g_ascii_strtod(list.value, NULL);
+	per_s = g_ascii_strtod(value, NULL);
 	if (!isfinite(per_s) || per_s <= 0)
 		return (struct forward_rate_limit){FORWARD_LIMIT_INVALID, 0};
 	return (struct forward_rate_limit){FORWARD_LIMIT_VALID, per_s};
@@ -169,20 +145,23 @@
 struct forward_notice forward_read_notice(const struct forward_dialect *dialect,
 					  const struct http1_message *message)
 {
-	struct value_list leaving = collect_values(message, dialect->leaving);
-	struct value_list rest = collect_values(message, dialect->rest);
 	struct forward_notice notice = {0};
-
-	notice.leaving = leaving.n && !strcmp(leaving.value, "1");
-	notice.invalid = leaving.n && !notice.leaving;
-	if (message->status != 503 || !rest.n)
+	const char *leaving;
+	const char *rest;
+	guint n_leaving =
+		http1_message_values(message, dialect->leaving, &leaving);
+	guint n_rest = http1_message_values(message, dialect->rest, &rest);
+
+	notice.leaving = n_leaving && !strcmp(leaving, "1");
+	notice.invalid = n_leaving && !notice.leaving;
+	if (message->status != 503 || !n_rest)
 		return notice;
-	if (rest.n > 1 || !is_decimal(rest.value))
+	if (n_rest > 1 || !is_decimal(rest))
 		notice.invalid = true;
 	else
-		notice.rest_us = (gint64)(MIN(g_ascii_strtod(rest.value, NULL),
-					      REST_MAX_S) *
-					  CS_US_PER_S);
+		notice.rest_us =
+			(gint64)(MIN(g_ascii_strtod(rest, NULL), REST_MAX_S) *
+				 CS_US_PER_S);
 	return notice;
 }
 
--- a/src/libhttp/message.c
+++ b/src/libhttp/message.c
@@ -401,3 +401,28 @@
 		visit(name, message->text->str + header->value, user);
 	}
 }
+
+struct value_search {
+	const char *name;
+	const char **last;
+	guint n;
+};
+
+static void match_value(const char *name, const char *value, void *user)
+{
+	struct value_search *search = user;
+
+	if (g_ascii_strcasecmp(name, search->name) != 0)
+		return;
+	*search->last = value;
+	search->n++;
+}
+
+guint http1_message_values(const struct http1_message *message,
+			   const char *name, const char **last)
+{
+	struct value_search search = {name, last, 0};
+
+	http1_message_foreach_end_to_end(message, match_value, &search);
+	return search.n;
+}
--- a/src/libroute/fleet.c
+++ b/src/libroute/fleet.c
@@ -290,8 +290,8 @@
 
 	if (!replica || (replica->lapsed_us && hold))
 		return false;
-	if (replica->leaving || replica->notice.leaving ||
-	    is_held(replica, now_us) || !hold) {
+	if (route_replica_leaves(replica) || is_held(replica, now_us) ||
+	    !hold) {
 		remove_replica(fleet, replica, now_us);
 		return true;
 	}
@@ -392,9 +392,14 @@
 	g_free(replica);
 }
 
+bool route_replica_leaves(const struct route_replica *replica)
+{
+	return replica->leaving || replica->notice.leaving;
+}
+
 bool route_replica_usable(const struct route_replica *replica, gint64 now_us)
 {
-	if (!replica->pool || replica->leaving || replica->notice.leaving ||
+	if (!replica->pool || route_replica_leaves(replica) ||
 	    replica->evacuated || replica->wrong_instance ||
 	    is_held(replica, now_us))
 		return false;
--- a/test/unit/fake_store.c
+++ b/test/unit/fake_store.c
@@ -132,7 +132,8 @@
 	gint64 revision = after ? strtoll(after + 6, NULL, 10) : 0;
 
 	if (strstr(request->target->str, "kv-range")) {
-		store->ranges++;
+		if (store->silent_ranges)
+			return;
 		answer_with(store, exchange, "items",
 			    list_keys(store, 0, true));
 		return;
--- a/test/unit/fake_store.h
+++ b/test/unit/fake_store.h
@@ -16,7 +16,7 @@
 	gint64 copied_revision;
 	GPtrArray *watches; /* struct http1_exchange: waiting */
 	struct cs_timer timer; /* answers the waiting watches */
-	guint ranges; /* calls for a range */
+	bool silent_ranges; /* calls for a range get no answer */
 };
 
 void fake_store_open(struct fake_store *store, struct net *net, guint number);
--- a/test/unit/test_restored.c
+++ b/test/unit/test_restored.c
@@ -309,6 +309,29 @@
 }
 END_TEST
 
+/* Guards against a lost version that never ends because the range that was to
+ * end it was interrupted. */
+START_TEST(a_lost_version_ends_although_the_last_range_is_interrupted)
+{
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	fake_store_copy(&fixture.store);
+	write_version(&fixture, 9, "y");
+	fake_store_restore(&fixture.store);
+	write_version(&fixture, 5, "x");
+	net_advance(&fixture.net, 50000);
+	/* The store does not answer the range. */
+	fixture.store.silent_ranges = true;
+	net_advance(&fixture.net, 15000);
+	ck_assert_int_eq(version(&fixture), 9);
+	fixture.store.silent_ranges = false;
+	net_advance(&fixture.net, 5000);
+	check_version(&fixture, 5, "x");
+	fixture_close(&fixture);
+}
+END_TEST
+
 /* Guards against an invalid version being taken, or the last good one being
  * dropped, when the invalid one is written again. */
 START_TEST(an_invalid_version_that_is_written_again_is_refused_again)
@@ -521,6 +544,7 @@
 UNIT_MAIN("restored", the_copys_older_version_does_not_replace_a_confirmed_one,
 	  a_number_of_a_lost_version_may_name_other_content,
 	  a_lost_version_that_is_not_written_again_ends,
+	  a_lost_version_ends_although_the_last_range_is_interrupted,
 	  an_invalid_version_that_is_written_again_is_refused_again,
 	  an_evacuation_that_the_copy_lacks_stays_until_it_is_ended,
 	  an_evacuation_that_is_not_written_again_ends,
