--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -821,6 +821,9 @@
         print(f"seed {seed}: {n_requests} requests, {served} served, "
               f"{len(testbed.crashes)} crashes, "
               f"{len(testbed.breaches)} breaches", flush=True)
+        rules = collections.Counter(b.split(":")[0] for b in testbed.breaches)
+        for rule, n in sorted(rules.items()):
+            print(f"  {rule}: {n} breaches")
         for text in testbed.breaches[:10]:
             print(f"  BREACH {text}; logs in {directory}", flush=True)
         failed += bool(testbed.breaches)
