libplatform: Open a kept connection again at once if the platform had closed it

The platform's stand-in closes its connection after each answer to a waiting call without saying so; the next call met that, counted as failed, and was repeated 0.3 to 0.6 s later. In that gap the list gets too old to own cold upstreams.

Change: a call that is lost on a kept connection before a byte of its answer is made again at once, on a new one. The first call on a connection still counts as failed.

Evidence: test_watch:a_kept_connection_that_was_closed_is_opened_again_at_once fails before ("fixture.unchanged == 2", 10 expected).

The forwarding mode does not use this package.

--- a/src/libplatform/platform.c
+++ b/src/libplatform/platform.c
@@ -43,6 +43,7 @@
 	gint64 wait_ms; /* longest time the platform holds the call */
 	gint64 requested_us; /* when the last request or read started */
 	struct http1_client *connection; /* NULL if closed */
+	bool reused; /* the call in progress is not its connection's first */
 	bool call_pending; /* a request was sent and is not answered yet */
 };
 
@@ -194,7 +195,10 @@
 
 	watch->connection = NULL;
 	watch->call_pending = false;
-	if (was_pending)
+	/* The platform may close a kept connection just as a call is sent. */
+	if (was_pending && watch->reused && failure == HTTP1_CLOSED)
+		schedule(watch, 0);
+	else if (was_pending)
 		fail_call(watch, failure == HTTP1_NOT_CONNECTED
 					 ? "not connected"
 					 : "connection lost");
@@ -212,6 +216,7 @@
 	GString *head;
 
 	cs_counters_add(platform->counters, CS_N_PLATFORM_CALLS, 1);
+	watch->reused = watch->connection != NULL;
 	if (!watch->connection)
 		watch->connection =
 			http1_client_open(platform->loop, &platform->address,
