--- a/test/unit/test_blocklist.c
+++ b/test/unit/test_blocklist.c
@@ -326,6 +326,41 @@
 	return answer;
 }
 
+/* Guards against crashes that go on counting although the request has run well,
+ * at any daemon. */
+START_TEST(a_good_answer_clears_the_crashes_at_all_daemons)
+{
+	struct cluster cluster;
+	struct net_client *caller;
+
+	cluster_create(&cluster);
+	cluster_run(&cluster, 1000);
+	ck_assert_uint_eq(cluster_ask(&cluster, 3, "/one" DEADLY), 502);
+	cluster_run(&cluster, 4000);
+	for (guint i = 0; i < REPLICAS; i++)
+		cluster.replicas[i].silent = true;
+	caller = net_connect(&cluster.net, &cluster.daemons[4].settings.caller);
+	net_send(caller, GET("/one" DEADLY, ""));
+	net_advance(&cluster.net, 20);
+	for (guint i = 0; i < REPLICAS; i++) {
+		net_server_reply_held(cluster.replicas[i].server);
+		g_string_truncate(cluster.replicas[i].server->received, 0);
+	}
+	cluster_run(&cluster, 1500);
+	net_read(caller);
+	ck_assert(g_str_has_prefix(caller->received->str, "HTTP/1.1 200"));
+	for (guint i = 0; i < DAEMONS; i++) {
+		g_autofree char *page =
+			ask_operators(&cluster, i, "GET /v1/blocked");
+
+		ck_assert_msg(strstr(page, "\"blocked\":[]") != NULL,
+			      "daemon %u: %s", i, page);
+	}
+	net_close(caller);
+	cluster_destroy(&cluster);
+}
+END_TEST
+
 /* Guards against each daemon finding out by a crash of its own: the first one
  * is told at once. */
 START_TEST(all_daemons_know_of_a_crash_within_a_fifth_of_a_second)
@@ -740,6 +775,7 @@
 	  a_suspected_query_is_sent_to_one_shard_first,
 	  a_suspected_query_is_sent_to_one_shard_also_without_the_first,
 	  a_query_without_any_answer_is_not_hedged,
+	  a_good_answer_clears_the_crashes_at_all_daemons,
 	  a_query_that_fails_by_crashes_is_not_left_running,
 	  all_daemons_know_of_a_crash_within_a_fifth_of_a_second,
 	  an_operator_lists_and_clears_a_blocked_request,
