--- a/test/unit/test_restored.c
+++ b/test/unit/test_restored.c
@@ -499,6 +499,26 @@
 }
 END_TEST
 
+/* Guards against live replicas that stay unused after the second of two
+ * returns: they were missing from the first copy for longer than a lapse. */
+START_TEST(replicas_that_one_copy_lacked_are_used_after_the_next)
+{
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	fake_store_copy(&fixture.store);
+	write_replica(&fixture, "x3", "x", "a", "ready", 1);
+	fake_store_restore(&fixture.store);
+	net_advance(&fixture.net, 3000);
+	ck_assert(!is_usable(&fixture, "x3"));
+	/* It is written again in the third era, before the range is read. */
+	fixture.store.era++;
+	write_replica(&fixture, "x3", "x", "a", "ready", 5);
+	ck_assert(is_usable(&fixture, "x3"));
+	fixture_close(&fixture);
+}
+END_TEST
+
 /* Guards against the loss of replicas that started after the copy was made, and
  * against requests to those that do not come back. */
 START_TEST(replicas_that_the_copy_lacks_are_kept_for_two_seconds)
@@ -552,5 +572,6 @@
 	  a_leaving_replica_that_the_copy_lists_as_ready_gets_no_requests,
 	  a_gone_replica_that_the_copy_lists_gets_no_requests,
 	  a_live_replica_that_the_copy_lists_is_used_again,
+	  replicas_that_one_copy_lacked_are_used_after_the_next,
 	  replicas_that_the_copy_lacks_are_kept_for_two_seconds,
 	  a_replica_that_leaves_before_the_first_range_gets_no_requests)
