forward: Answer every request that a stop would cut

The new test sends requests on kept and on new connections at nine moments of a stop whose replicas never answer: before this change the first case already ended without an answer (status 0), as a stopped daemon destroyed its open requests.

At the end of the grace time, less 500 ms, each open request now gets its answer: the parts that are in if they suffice, else a 503 if it was proved not run and a 502 if not. 250 ms remain to write them. A request that comes so late that four times its objective do not fit before that is refused unsent, with Retry-After 0, as another daemon serves it at once. The stop is a file of its own.

--- a/src/libforward/engine.c
+++ b/src/libforward/engine.c
@@ -1,5 +1,5 @@
 /* The engine of a forwarding daemon: start, changes of routes and settings,
- * periodic upkeep, graceful stop. */
+ * periodic upkeep. */
 #include "internal.h"
 
 #include "cuminsail/error.h"
@@ -16,14 +16,6 @@
 /* A tick that is later than this shows that the process was suspended. */
 #define PAUSE_MIN_US (1 * CS_US_PER_S)
 
-/* How long a stopping daemon keeps accepting connections. The load balancer
- * checks readiness every second and sends new connections until two checks have
- * failed. */
-#define BALANCER_NOTICE_US (2500 * CS_US_PER_MS)
-
-/* Requests that are still open are aborted this long before the SIGKILL. */
-#define KILL_MARGIN_US (500 * CS_US_PER_MS)
-
 /* Largest accepted answer of a replica. */
 #define ANSWER_BYTES_MAX (8 * 1024 * 1024)
 #define ANSWER_HEAD_MAX	 65536
@@ -237,35 +229,7 @@
 	       NULL);
 }
 
-/* ---- upkeep and stop ---- */
-
-static void finish_stop(struct forward_engine *engine)
-{
-	g_autofree char *aborted = g_strdup_printf(
-		"%u", http1_server_open_exchanges(engine->callers));
-
-	engine->phase = FORWARD_STOPPED;
-	cs_log(LOG_NOTICE, "stopped", "requests_cut", aborted, NULL);
-	engine->stopped(engine->user);
-}
-
-static void check_stop(struct forward_engine *engine, gint64 now)
-{
-	gint64 elapsed_us = now - engine->stop_begun_us;
-	gint64 limit_us = engine->settings->stop_us - KILL_MARGIN_US;
-
-	if (engine->phase != FORWARD_DRAINING)
-		return;
-	if (elapsed_us < BALANCER_NOTICE_US)
-		return;
-	/* Without this, a request that arrives after the decision to stop
-	 * would be aborted. */
-	http1_server_stop_accepting(engine->callers);
-	if (!(forward_relays_stop_accepting(engine->relays) +
-	      http1_server_connection_count(engine->callers)) ||
-	    elapsed_us >= limit_us)
-		finish_stop(engine);
-}
+/* ---- upkeep ---- */
 
 static void on_tick(struct cs_timer *timer)
 {
@@ -291,20 +255,7 @@
 	forward_registry_update_counts(engine->registry);
 	forward_parts_retry_waiting(engine);
 	cs_timer_arm(engine->clock, timer, now + TICK_US);
-	check_stop(engine, now);
-}
-
-void forward_engine_stop(struct forward_engine *engine)
-{
-	if (engine->phase != FORWARD_SERVING) {
-		finish_stop(engine);
-		return;
-	}
-	engine->phase = FORWARD_DRAINING;
-	engine->stop_begun_us = forward_now(engine);
-	http1_server_drain(engine->callers);
-	forward_relays_drain(engine->relays);
-	cs_log(LOG_NOTICE, "draining", NULL);
+	forward_stop_check(engine);
 }
 
 /* ---- start ---- */
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -171,6 +171,7 @@
 		FORWARD_STOPPED,
 	} phase;
 	gint64 stop_begun_us;
+	guint stop_ended; /* requests that the stop ended early */
 	void (*stopped)(void *user);
 	void *user;
 };
@@ -202,6 +203,14 @@
 bool forward_pages_open(struct forward_engine *engine);
 bool forward_is_ready(const struct forward_engine *engine);
 
+/* stop.c */
+
+/* Return: false if a stop would end the job before its answer. */
+bool forward_stop_admits(const struct forward_job *job);
+
+/* Continues a stop that has begun. */
+void forward_stop_check(struct forward_engine *engine);
+
 /* part.c */
 
 /* A replica has a free slot again: schedules a retry of the waiting parts after
@@ -265,6 +274,10 @@
 /* Ends a job with a refusal. code: result code. */
 void forward_job_fail(struct forward_job *job, int code);
 
+/* Ends a job with the parts that it has if they make an answer, else with a
+ * refusal. code: result code. */
+void forward_job_end(struct forward_job *job, int code);
+
 /* Return: whether the job's answer merges the answers of its parts. */
 bool forward_job_merges(const struct forward_job *job);
 
--- a/src/libforward/job.c
+++ b/src/libforward/job.c
@@ -96,6 +96,14 @@
 	free_job(job, forward_blocklist_condemns(job) ? 0 : FORWARD_DRAIN_US);
 }
 
+void forward_job_end(struct forward_job *job, int code)
+{
+	if (job->n_done >= forward_parts_needed(job))
+		finish(job);
+	else
+		forward_job_fail(job, code);
+}
+
 void forward_job_abandon(struct forward_job *job)
 {
 	struct forward_engine *engine = job->engine;
@@ -277,7 +285,9 @@
 {
 	struct forward_job *job = create_job(engine, exchange, request, route);
 
-	if (!forward_blocklist_admits(job)) {
+	if (!forward_stop_admits(job)) {
+		forward_job_fail(job, CS_E_STOPPING);
+	} else if (!forward_blocklist_admits(job)) {
 		forward_job_fail(job, CS_E_BLOCKED);
 	} else if (forward_relays_wanted(engine->relays)) {
 		forward_job_relay(job);
@@ -301,10 +311,12 @@
 	job->relayed = true;
 	job->n_used = n_used;
 	job->objective_us = MAX(job->objective_us - held_us, job->started_us);
-	if (forward_blocklist_admits(job))
-		begin_at_replicas(job);
-	else
+	if (!forward_stop_admits(job))
+		forward_job_fail(job, CS_E_STOPPING);
+	else if (!forward_blocklist_admits(job))
 		forward_job_fail(job, CS_E_BLOCKED);
+	else
+		begin_at_replicas(job);
 }
 
 bool forward_job_merges(const struct forward_job *job)
--- a/src/libforward/reply.c
+++ b/src/libforward/reply.c
@@ -14,6 +14,10 @@
  * platform's list changes. */
 #define RETRY_CONFIG_MS 500
 
+/* Retry-After of a daemon that stops: another one serves the request at once.
+ */
+#define RETRY_STOPPING_MS 0
+
 /* Callers that were refused during a rest return over this time after its end,
  * so that the replica does not meet all of them at once. */
 #define RETRY_REST_SPREAD_MS 200
@@ -190,6 +194,8 @@
 static gint64 retry_after_ms(const struct forward_job *job, int code)
 {
 	switch (code) {
+	case CS_E_STOPPING:
+		return RETRY_STOPPING_MS;
 	case CS_E_NO_CONTACT:
 	case CS_E_NO_REPLICA:
 	case CS_E_NOT_READY:
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -614,6 +614,72 @@
 }
 END_TEST
 
+/* Return: whether a request has its final answer. Adds what has arrived. */
+static guint wait_for_status(struct fixture *fixture, struct net_client *client)
+{
+	for (int i = 0; i < 100 && !status_of(client); i++) {
+		net_advance(&fixture->net, 10);
+		net_read(client);
+	}
+	return status_of(client);
+}
+
+#define BODY_BY_LENGTH OK_HEAD "Content-Length: 16\r\n\r\n0123456789abcdef"
+#define BODY_BY_CHUNKS                                                         \
+	OK_HEAD "Transfer-Encoding: chunked\r\n\r\n10\r\n0123456789abcdef"     \
+		"\r\n0\r\n\r\n"
+#define BODY_BY_END OK_HEAD "\r\n0123456789abcdef"
+
+/* Guards against a short body that is passed on as whole: a replica closes the
+ * connection after any number of bytes of its answer. A body without a length
+ * ends with the connection, so only its head can be incomplete. */
+START_TEST(an_answer_that_breaks_off_is_never_passed_on)
+{
+	static const struct {
+		const char *answer;
+		gsize whole; /* bytes from which it is a complete answer */
+	} cases[] = {
+		{BODY_BY_LENGTH, sizeof(BODY_BY_LENGTH) - 1},
+		{BODY_BY_CHUNKS, sizeof(BODY_BY_CHUNKS) - 1},
+		{BODY_BY_END, sizeof(OK_HEAD "\r\n") - 1},
+	};
+	static const char *const lines[] = {"GET /one/", "GET /once/",
+					    "GET /all/"};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases) * G_N_ELEMENTS(lines); i++) {
+		const char *answer = cases[i / 3].answer;
+
+		for (gsize cut = 1; cut < cases[i / 3].whole; cut++) {
+			struct fixture fixture;
+			struct net_client *client;
+
+			fixture_create(&fixture);
+			fixture_publish(&fixture);
+			start_replica(&fixture, 0, g_strndup(answer, cut),
+				      true);
+			for (guint k = 2; k < REPLICAS_MAX; k += 2)
+				start_replica(&fixture, k,
+					      signed_answer(k, 200, ""), false);
+			client = send_request(&fixture, lines[i % 3]);
+			wait_for_status(&fixture, client);
+			if (i % 3 == 2)
+				ck_assert_msg(strstr(client->received->str,
+						     "Missing: 1\r\n") != NULL,
+					      "case %zu, %zu bytes: %s", i, cut,
+					      client->received->str);
+			else
+				ck_assert_msg(status_of(client) == 502,
+					      "case %zu, %zu bytes: %s", i, cut,
+					      client->received->str);
+			ck_assert_ptr_null(
+				strstr(client->received->str, "0123"));
+			net_close(client);
+			fixture_destroy(&fixture);
+		}
+	}
+}
+END_TEST
+
 START_TEST(a_503_is_sent_if_both_replicas_did_not_run_it)
 {
 	struct fixture fixture;
@@ -1044,6 +1110,94 @@
 }
 END_TEST
 
+/* A request that is sent during a stop; the replica runs it without an end. */
+struct late_request {
+	const char *line;
+	bool kept; /* on a connection that is open before the stop */
+	gint64 begun_ms; /* after the start of the stop */
+	gint64 complete_ms; /* the same, for its last bytes */
+};
+
+/* Sends a request during a stop that then finishes.
+ * Return: the status of its answer; 0: none. @n_sent: set to whether a replica
+ * got it. */
+static guint ask_during_stop(const struct late_request *late, bool *was_sent)
+{
+	struct sockaddr_in address = net_address(PORT_CALLER);
+	g_autofree char *head = g_strdup_printf(
+		"%s HTTP/1.1\r\nHost: h\r\nId: r1\r\nWait: 9000\r\n",
+		late->line);
+	struct net_client *client = NULL;
+	struct fixture fixture;
+	guint status;
+
+	fixture_create(&fixture);
+	fixture_publish(&fixture);
+	for (guint i = 0; i < fixture.table->routes->len; i++) {
+		struct route *route = fixture.table->routes->pdata[i];
+
+		route->timeout_us = 9000 * MS;
+	}
+	for (guint i = 0; i < REPLICAS_MAX; i++)
+		start_replica(&fixture, i, NULL, false);
+	if (late->kept)
+		client = net_connect(&fixture.net, &address);
+	forward_engine_stop(fixture.engine);
+	net_advance(&fixture.net, late->begun_ms);
+	if (!late->kept)
+		client = net_connect(&fixture.net, &address);
+	net_send(client, head);
+	net_advance(&fixture.net, late->complete_ms - late->begun_ms);
+	net_send(client, "\r\n");
+	for (int i = 0; i < 600 && !fixture.stopped; i++)
+		net_advance(&fixture.net, 10);
+	ck_assert(fixture.stopped);
+	net_read(client);
+	status = status_of(client);
+	*was_sent = false;
+	for (guint i = 0; i < REPLICAS_MAX; i++)
+		*was_sent = *was_sent || fixture.servers[i]->received->len;
+	net_close(client);
+	fixture_destroy(&fixture);
+	return status;
+}
+
+/* Guards against requests that are taken late in the grace time and cut without
+ * an answer at its end, of which some may not be sent again. The grace time is
+ * 6 s. */
+START_TEST(a_request_that_a_stop_would_cut_gets_an_answer)
+{
+	static const struct {
+		gint64 begun_ms;
+		gint64 complete_ms;
+		bool kept;
+		bool may_be_sent;
+	} cases[] = {
+		{0, 1, true, true},	    {0, 1, false, true},
+		{1000, 1001, true, true},   {2000, 2001, false, true},
+		{2400, 2401, true, true},   {1000, 3900, true, true},
+		{2000, 4950, false, false}, {2400, 5300, true, false},
+		{2450, 5400, false, false},
+	};
+	static const char *const lines[] = {"GET /one/", "GET /once/",
+					    "GET /all/"};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases) * G_N_ELEMENTS(lines); i++) {
+		struct late_request late = {lines[i % 3], cases[i / 3].kept,
+					    cases[i / 3].begun_ms,
+					    cases[i / 3].complete_ms};
+		bool was_sent;
+		guint status = ask_during_stop(&late, &was_sent);
+
+		ck_assert_msg(status >= 500, "case %zu: %u", i, status);
+		ck_assert_msg(was_sent == (status != 503), "case %zu: %u", i,
+			      status);
+		ck_assert_msg(cases[i / 3].may_be_sent || !was_sent,
+			      "case %zu: %u", i, status);
+	}
+}
+END_TEST
+
 UNIT_MAIN("forward", a_request_and_its_answer_are_forwarded_unchanged,
 	  a_refusal_without_the_request_id_proves_nothing,
 	  many_answers_without_end_are_bounded_together,
@@ -1063,4 +1217,6 @@
 	  a_fanout_without_enough_replicas_is_refused_unsent,
 	  a_404_needs_a_current_routing_view, an_older_table_is_ignored,
 	  settings_errors_name_the_key, a_reload_aborts_no_request,
-	  a_stopping_daemon_serves_until_the_balancer_reacts)
+	  a_stopping_daemon_serves_until_the_balancer_reacts,
+	  an_answer_that_breaks_off_is_never_passed_on,
+	  a_request_that_a_stop_would_cut_gets_an_answer)
