forward: Use another replica if a connection cannot be opened

One entry of the replicas with the address of no machine (255.255.255.255) took the requests of its whole service: connecting fails at once, nothing was recorded, and the request waited for a free slot and chose the same replica again until its wait ended with 503. A hedge that could not be opened was taken from the budget and never tried again.

The new test got no answer before this change ("255.255.255.255:80: " with an empty reply).

--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -673,6 +673,16 @@
  */
 void route_replica_connected(struct route_replica *replica, gint64 us);
 
+/**
+ * route_replica_unreachable - record that no connection could be made
+ * @replica: a replica
+ * @now_us: current time
+ *
+ * It is used only as a last choice for some time, longer after each failure in
+ * a row.
+ */
+void route_replica_unreachable(struct route_replica *replica, gint64 now_us);
+
 /**
  * route_pool_deposit - raise the budget for a request of a caller
  * @pool: pool of the requested service
--- a/src/libforward/part.c
+++ b/src/libforward/part.c
@@ -105,10 +105,16 @@
 	return route_pool_choose(part->pool, &criteria, now, unavailable);
 }
 
+/* Return: false if no connection could be opened; the replica is suspect then,
+ * so that the next choice is another one. */
 static bool send_to(struct forward_part *part, struct route_replica *replica)
 {
-	if (!forward_send(part, replica))
+	if (!forward_send(part, replica)) {
+		forward_part_log(part, "not-sent", "no-connection", replica, 0);
+		route_replica_unreachable(replica,
+					  forward_now(part->job->engine));
 		return false;
+	}
 	if (!has_tried(part, replica))
 		part->tried[part->n_tried++] = route_replica_ref(replica);
 	part->n_sent++;
@@ -172,6 +178,7 @@
 {
 	enum route_unavailable unavailable;
 	struct route_replica *replica;
+	bool sent = false;
 
 	switch (forward_blocklist_judge(part)) {
 	case FORWARD_GO:
@@ -186,8 +193,13 @@
 		return;
 	}
 	part->held = false;
-	replica = forward_part_choose(part, &unavailable);
-	if (replica && send_to(part, replica))
+	for (int i = 0; i < ROUTE_TRIED_MAX && !sent; i++) {
+		replica = forward_part_choose(part, &unavailable);
+		if (!replica)
+			break;
+		sent = send_to(part, replica);
+	}
+	if (sent)
 		dequeue_waiting(part);
 	else if (unavailable == ROUTE_NO_REPLICA)
 		fail_part(part, part->reason ? part->reason : CS_E_NO_REPLICA);
@@ -378,8 +390,11 @@
 		attempt->hedge_due_us = now + HEDGE_RETRY_US;
 		return;
 	}
-	if (!send_to(part, replica))
+	if (!send_to(part, replica)) {
+		route_pool_refund(part->pool, now);
+		attempt->hedge_due_us = now + HEDGE_RETRY_US;
 		return;
+	}
 	forward_part_log(part, "hedge", attempt->route.replica->id, replica,
 			 now - attempt->route.sent_us);
 	cs_counters_add(job->engine->counters, CS_N_HEDGES, 1);
--- a/src/libroute/estimate.c
+++ b/src/libroute/estimate.c
@@ -251,6 +251,12 @@
 	replica->consecutive_failures++;
 }
 
+void route_replica_unreachable(struct route_replica *replica, gint64 now_us)
+{
+	add_failure_sample(replica, 1, now_us);
+	mark_suspect(replica, now_us);
+}
+
 static void update_estimates(const struct route_attempt *attempt,
 			     enum route_result result, gint64 now_us)
 {
@@ -276,8 +282,7 @@
 		replica->consecutive_failures++;
 		break;
 	case ROUTE_CONNECT_FAILED:
-		add_failure_sample(replica, 1, now_us);
-		mark_suspect(replica, now_us);
+		route_replica_unreachable(replica, now_us);
 		break;
 	case ROUTE_ABORTED:
 		/* The answer would have taken even longer, so the time of an
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -680,6 +680,40 @@
 }
 END_TEST
 
+/* Guards against requests that all wait for a replica to which no connection
+ * can be opened: its entry has the address of no machine. */
+START_TEST(a_replica_with_an_unusable_address_takes_no_requests)
+{
+	static const char *const addresses[] = {
+		"255.255.255.255:80",
+		"0.0.0.0:1",
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(addresses); i++) {
+		struct route_entry entry = {.id = "u0",
+					    .service = "s0",
+					    .zone = "near",
+					    .slots = 4};
+		struct fixture fixture;
+		struct net_client *client;
+
+		ck_assert_int_eq(
+			cs_endpoint_parse(addresses[i], &entry.address), 0);
+		fixture_create(&fixture);
+		fixture_publish(&fixture);
+		route_fleet_put(forward_engine_fleet(fixture.engine), &entry,
+				cs_clock_now(fixture.net.clock));
+		start_replica(&fixture, 1, signed_answer(1, 200, "second"),
+			      false);
+		client = send_request(&fixture, "GET /once/");
+		ck_assert_msg(status_of(client) == 200, "%s: %s", addresses[i],
+			      client->received->str);
+		net_close(client);
+		fixture_destroy(&fixture);
+	}
+}
+END_TEST
+
 START_TEST(a_503_is_sent_if_both_replicas_did_not_run_it)
 {
 	struct fixture fixture;
@@ -1219,4 +1253,5 @@
 	  settings_errors_name_the_key, a_reload_aborts_no_request,
 	  a_stopping_daemon_serves_until_the_balancer_reacts,
 	  an_answer_that_breaks_off_is_never_passed_on,
-	  a_request_that_a_stop_would_cut_gets_an_answer)
+	  a_request_that_a_stop_would_cut_gets_an_answer,
+	  a_replica_with_an_unusable_address_takes_no_requests)
