--- a/src/libforward/follow.c
+++ b/src/libforward/follow.c
@@ -286,7 +286,7 @@
 	applied = follow->source.apply(view, follow->source.user);
 	json_decref(view);
 	if (!applied)
-		return "earlier-history";
+		return "not-applied";
 	forward_engine_confirm_view(follow->engine,
 				    forward_now(follow->engine) - age_us);
 	return NULL;
