forward: Hedge parts that are late against the other parts of their query

Traced part by part on: 83% of codigo-rapido's answers lacked one; of 1,126 missing parts 1,032 had been hedged, at 34 ms in the median, and a hedge to another region over a new connection takes 59 ms of the 86 that there are. Why so late: the delay came from the route's mean and deviation, which a daemon of 295 learns in its few queries a minute, and which are wide there, as 90 answers queue up at its own link (12 to 41 ms after the begin for parts of 1,000 bytes at 24 Mbit/s).

Once nine parts in ten have answered, an open one is late half of the time between the fifth and the ninth tenth after that; this needs no earlier query. The first samples of a route weigh more, so that its first query replaces the initial guess. A hedge that would be back only after the answer is sent without its part is not sent.

--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -210,6 +210,7 @@
 struct route_work {
 	double mean_us; /* moving average, without the network delay */
 	double mean_deviation; /* absolute, as a share of mean_us */
+	guint n_samples; /* while few, each has more weight */
 };
 
 /** One request sent to a replica. Embed it; zero-initialised means idle. */
@@ -666,6 +667,23 @@
 gint64 route_hedge_delay_us(const struct route_work *work,
 			    const struct route_replica *replica, gint64 now_us);
 
+/**
+ * route_replica_round_trip_us - network round trip time to a replica
+ * @replica: a replica
+ *
+ * Return: microseconds; a default for the distance until it was measured.
+ */
+gint64 route_replica_round_trip_us(const struct route_replica *replica);
+
+/**
+ * route_replica_soonest_us - shortest time to an answer of a replica
+ * @replica: a replica
+ *
+ * Return: microseconds for the round trip, and for a new connection if none is
+ * idle.
+ */
+gint64 route_replica_soonest_us(const struct route_replica *replica);
+
 /**
  * route_replica_connected - update the round trip time after a connect
  * @replica: the replica connected to
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -4,6 +4,7 @@
 
 #include "cuminsail/forward.h"
 #include "cuminsail/route_contact.h"
+#include "cuminsail/route_pace.h"
 
 struct forward_connection;
 struct forward_peers;
@@ -35,7 +36,9 @@
 	guint number; /* of its part's attempts, from 1 */
 	struct route_digest digest; /* of the request, once drained */
 	bool has_digest;
+	gint64 begun_us; /* when it was chosen, before any connection */
 	gint64 hedge_due_us; /* time for a second attempt; 0: never */
+	gint64 hedge_retry_us; /* not before this: there was no room for it */
 	bool connected; /* the request may have been sent */
 };
 
@@ -101,6 +104,7 @@
 	struct cs_timer timer;
 	guint n_parts;
 	guint n_done;
+	struct route_pace pace; /* of the answers */
 	guint n_failed;
 	guint n_hedges;
 	guint n_retries;
@@ -176,6 +180,12 @@
 	void *user;
 };
 
+/* The reply is sent this long before the objective or deadline. This covers the
+ * caller's new connection, its request and the answer, with a network delay of
+ * 3 ms in each direction on the largest deployments, and one turn of the event
+ * loop. */
+#define FORWARD_ANSWER_MARGIN_US (14 * CS_US_PER_MS)
+
 /* Buffer size for a number in a log line. */
 #define FORWARD_NUMBER_TEXT_MAX 32
 
--- a/src/libforward/job.c
+++ b/src/libforward/job.c
@@ -7,12 +7,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* The reply is sent this long before the objective or deadline. This covers the
- * caller's new connection, its request and the answer, with a network delay of
- * 3 ms in each direction on the largest deployments, and one turn of the event
- * loop. */
-#define ANSWER_MARGIN_US (14 * CS_US_PER_MS)
-
 /* Attempts of idempotent routes are aborted this long after the caller
  * disconnects, well within half a second. */
 #define GONE_DRAIN_US (300 * CS_US_PER_MS)
@@ -132,8 +126,8 @@
 void forward_job_update(struct forward_job *job)
 {
 	gint64 now = forward_now(job->engine);
-	gint64 due = job->deadline_us - ANSWER_MARGIN_US;
-	gint64 partial_us = job->objective_us - ANSWER_MARGIN_US;
+	gint64 due = job->deadline_us - FORWARD_ANSWER_MARGIN_US;
+	gint64 partial_us = job->objective_us - FORWARD_ANSWER_MARGIN_US;
 
 	if (job->closing)
 		return;
@@ -161,7 +155,7 @@
 		finish(job);
 		return;
 	}
-	if (now >= job->deadline_us - ANSWER_MARGIN_US) {
+	if (now >= job->deadline_us - FORWARD_ANSWER_MARGIN_US) {
 		forward_job_fail(job, CS_E_DEADLINE);
 		return;
 	}
--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -422,6 +422,7 @@
 	attempt->request_id = g_strdup(job->request_id);
 	attempt->copy = job->number;
 	attempt->number = part->n_sent + 1;
+	attempt->begun_us = now;
 	connection->attempt = attempt;
 	TAILQ_INSERT_TAIL(&part->attempts, attempt, link);
 	route_attempt_begin(&attempt->route, replica, part->work, now);
--- a/src/libforward/part.c
+++ b/src/libforward/part.c
@@ -263,6 +263,8 @@
 	part->answer = answer;
 	part->state = PART_DONE;
 	job->n_done++;
+	route_pace_answered(&job->pace, job->n_done, job->n_parts,
+			    forward_now(job->engine) - job->started_us);
 	while (!TAILQ_EMPTY(&part->attempts))
 		forward_attempt_drain(TAILQ_FIRST(&part->attempts),
 				      FORWARD_DRAIN_US);
@@ -364,6 +366,47 @@
 	return job->n_parts > 1 && !job->n_done;
 }
 
+/* Return: time from which an open attempt is late against the other parts. A
+ * new connection to another region takes longer than theirs. */
+static gint64 pace_due(const struct forward_attempt *attempt)
+{
+	const struct route_replica *replica = attempt->route.replica;
+	gint64 late_us = route_pace_late_us(&attempt->part->job->pace);
+	gint64 begun_us = replica->distance == ROUTE_FAR
+				  ? attempt->route.sent_us
+				  : attempt->begun_us;
+
+	if (late_us == G_MAXINT64)
+		return G_MAXINT64;
+	return begun_us + late_us + route_replica_round_trip_us(replica);
+}
+
+/* Return: time for a hedge of an open attempt, or 0 for never. */
+static gint64 hedge_due(const struct forward_attempt *attempt)
+{
+	if (!attempt->hedge_due_us)
+		return 0;
+	return MAX(MIN(attempt->hedge_due_us, pace_due(attempt)),
+		   attempt->hedge_retry_us);
+}
+
+static void defer_hedge(struct forward_attempt *attempt, gint64 now)
+{
+	attempt->hedge_due_us = attempt->hedge_retry_us = now + HEDGE_RETRY_US;
+}
+
+/* Return: whether a hedge at a replica is too late to change the answer: by
+ * then the query is answered without this part. */
+static bool is_hopeless(const struct forward_part *part,
+			const struct route_replica *replica, gint64 now)
+{
+	const struct forward_job *job = part->job;
+	gint64 answer_us = now + route_replica_soonest_us(replica);
+
+	return job->n_parts > 1 && job->n_done >= forward_parts_needed(job) &&
+	       answer_us >= job->objective_us - FORWARD_ANSWER_MARGIN_US;
+}
+
 static void send_hedge(struct forward_part *part,
 		       struct forward_attempt *attempt, gint64 now)
 {
@@ -376,23 +419,25 @@
 	    TAILQ_NEXT(TAILQ_FIRST(&part->attempts), link))
 		return;
 	if (forward_blocklist_suspects(job) || all_parts_late(job)) {
-		attempt->hedge_due_us = now + HEDGE_RETRY_US;
+		defer_hedge(attempt, now);
 		return;
 	}
 	replica = forward_part_choose(part, &unavailable);
 	if (!replica) {
 		if (unavailable != ROUTE_NO_REPLICA)
-			attempt->hedge_due_us = now + HEDGE_RETRY_US;
+			defer_hedge(attempt, now);
 		return;
 	}
+	if (is_hopeless(part, replica, now))
+		return;
 	if (!route_pool_withdraw(part->pool, ROUTE_HEDGE, now)) {
 		cs_counters_add(job->engine->counters, CS_N_NO_BUDGET, 1);
-		attempt->hedge_due_us = now + HEDGE_RETRY_US;
+		defer_hedge(attempt, now);
 		return;
 	}
 	if (!send_to(part, replica)) {
 		route_pool_refund(part->pool, now);
-		attempt->hedge_due_us = now + HEDGE_RETRY_US;
+		defer_hedge(attempt, now);
 		return;
 	}
 	forward_part_log(part, "hedge", attempt->route.replica->id, replica,
@@ -431,6 +476,7 @@
 	struct forward_attempt *attempt;
 	struct forward_attempt *next;
 	gint64 due = G_MAXINT64;
+	gint64 hedge;
 
 	if (part->state == PART_WAITING) {
 		due = wait_end(part);
@@ -455,10 +501,12 @@
 			continue;
 		}
 		next = TAILQ_NEXT(attempt, link);
-		if (attempt->hedge_due_us && now >= attempt->hedge_due_us)
+		hedge = hedge_due(attempt);
+		if (hedge && now >= hedge)
 			send_hedge(part, attempt, now);
-		if (attempt->hedge_due_us)
-			due = MIN(due, attempt->hedge_due_us);
+		hedge = hedge_due(attempt);
+		if (hedge)
+			due = MIN(due, hedge);
 	}
 	return due;
 }
--- a/src/libroute/choose.c
+++ b/src/libroute/choose.c
@@ -151,6 +151,19 @@
 	       !(replica->notice.on_trial && replica->n_open);
 }
 
+/* Time until a request can be sent. */
+static double connect_us(const struct route_replica *replica)
+{
+	if (replica->connections > replica->n_open)
+		return 0;
+	return route_round_trip_us(replica) + CONNECT_US;
+}
+
+gint64 route_replica_soonest_us(const struct route_replica *replica)
+{
+	return (gint64)(connect_us(replica) + route_round_trip_us(replica));
+}
+
 /* Expected time to an answer, including the requests queued before it, a new
  * connection if none is idle, and the risk of a failure. */
 static double cost_us(const struct route_criteria *criteria,
@@ -158,12 +171,10 @@
 {
 	double expected = route_expected_us(criteria->work, replica, now_us);
 	double queue = 2.0 * replica->n_open / (double)replica->slots;
-	double cost = expected * (1 + queue) +
-		      route_failure_rate(replica, now_us) * FAILURE_COST_US;
 
-	if (replica->connections <= replica->n_open)
-		cost += route_round_trip_us(replica) + CONNECT_US;
-	return cost;
+	return expected * (1 + queue) +
+	       route_failure_rate(replica, now_us) * FAILURE_COST_US +
+	       connect_us(replica);
 }
 
 struct route_replica *route_pool_choose(struct route_pool *pool,
--- a/src/libroute/estimate.c
+++ b/src/libroute/estimate.c
@@ -33,6 +33,11 @@
 #define WORK_WEIGHT	0.02
 #define SLOWNESS_WEIGHT 0.2
 
+/* The initial work counts as this many samples, so that the first query of a
+ * route nearly replaces it: a daemon of a large fleet sees a route every few
+ * seconds. */
+#define INITIAL_SAMPLES 4
+
 /* A sample is limited to this many times the estimate, so that a replica is not
  * avoided after a single pause, while a slow one is after some answers. */
 #define SAMPLE_FACTOR_MAX 3.0
@@ -135,6 +140,11 @@
 	return known ? *known : default_round_trip_us(replica->distance);
 }
 
+gint64 route_replica_round_trip_us(const struct route_replica *replica)
+{
+	return (gint64)route_round_trip_us(replica);
+}
+
 void route_replica_connected(struct route_replica *replica, gint64 us)
 {
 	double *known = measured_round_trip(replica);
@@ -213,6 +223,17 @@
 	return MAX((gint64)us, HEDGE_MIN_US);
 }
 
+/* Return: the weight of the next sample of a route. */
+static double next_work_weight(struct route_work *work)
+{
+	guint n = INITIAL_SAMPLES + work->n_samples;
+
+	if (1.0 / (n + 1) <= WORK_WEIGHT)
+		return WORK_WEIGHT;
+	work->n_samples++;
+	return 1.0 / (n + 1);
+}
+
 static void add_time_sample(struct route_work *work,
 			    struct route_replica *replica, double sample_us,
 			    gint64 now_us)
@@ -220,14 +241,15 @@
 	double slowness = estimate_slowness(replica, now_us);
 	double work_us = MAX(sample_us - route_round_trip_us(replica), 100.0);
 	double ratio = work_us / work->mean_us;
+	double weight = next_work_weight(work);
 
 	replica->unreported.answers++;
 	replica->unreported.slowness += MIN(ratio, ROUTE_REPORTED_SLOWNESS_MAX);
 	ratio = CLAMP(ratio, SLOWNESS_MIN, SAMPLE_FACTOR_MAX * slowness);
 	update_average(&work->mean_deviation, fabs(ratio / slowness - 1),
-		       WORK_WEIGHT);
+		       weight);
 	update_average(&work->mean_us, work->mean_us * ratio / MAX(slowness, 1),
-		       WORK_WEIGHT);
+		       weight);
 	update_average(&slowness, ratio, SLOWNESS_WEIGHT);
 	replica->slowness = slowness;
 	replica->slowness_at_us = now_us;
