route: Send to another replica what would meet a regular pause

So a daemon learns the interval and the length from the ends of stalls, and a choice counts the time that the next pause would add.

What it does not reach: the first 10 s, and replicas whose stalls have other causes as well.

--- a/include/cuminsail/route.h
+++ b/include/cuminsail/route.h
@@ -12,6 +12,7 @@
 #include "cuminsail/clock.h"
 #include "cuminsail/route_blocklist.h"
 #include "cuminsail/route_limit.h"
+#include "cuminsail/route_pause.h"
 
 #include <glib.h>
 #include <netinet/in.h>
@@ -282,6 +283,9 @@
 		cold_bucket; /* this daemon's part while it is cold */
 	struct route_limit limit;
 	struct route_notice notice;
+	struct route_pause pause;
+	struct route_stall unreported_stall; /* the longest of the last pause
+					      * since the last report */
 	TAILQ_ENTRY(route_replica)
 	limited; /* in the fleet, once it named one */
 	void *owner_data; /* of the connections' owner; set before use */
@@ -605,6 +609,7 @@
 	struct route_replica *const *tried; /* replicas to exclude */
 	guint n_tried;
 	gint64 wait_us; /* longest time that the request may wait */
+	bool try_pauses; /* ignore predicted pauses */
 };
 
 /** Why no replica is available. */
@@ -848,6 +853,55 @@
 				void (*visit)(const char *id, void *user),
 				void *user);
 
+/* ---- pauses, see route_pause.h ---- */
+
+/**
+ * route_fleet_each_stall - visit the stalls since the last call
+ * @fleet: a fleet
+ * @visit: called with each replica's id and its last stall
+ * @user: passed to @visit
+ */
+void route_fleet_each_stall(struct route_fleet *fleet,
+			    void (*visit)(const char *id,
+					  const struct route_stall *stall,
+					  void *user),
+			    void *user);
+
+/**
+ * route_fleet_add_stall - record a stall that another daemon observed
+ * @fleet: a fleet
+ * @id: the replica; an unknown one is ignored
+ * @stall: in this daemon's time
+ *
+ * Return: what is known of the replica's pauses if they are predicted from now
+ * on, else NULL.
+ */
+const struct route_pause *route_fleet_add_stall(
+	struct route_fleet *fleet, const char *id,
+	const struct route_stall *stall);
+
+/**
+ * route_fleet_each_pause - visit the replicas whose pauses are predicted
+ * @fleet: a fleet
+ * @visit: called with each replica's id and what is known
+ * @user: passed to @visit
+ */
+void route_fleet_each_pause(struct route_fleet *fleet,
+			    void (*visit)(const char *id,
+					  const struct route_pause *pause,
+					  void *user),
+			    void *user);
+
+/**
+ * route_fleet_learn_pause - take what another daemon knows of a replica's
+ * pauses
+ * @fleet: a fleet
+ * @id: the replica; an unknown one is ignored
+ * @pause: in this daemon's time
+ */
+void route_fleet_learn_pause(struct route_fleet *fleet, const char *id,
+			     const struct route_pause *pause);
+
 /* ---- merging ---- */
 
 /** Bytes of one record of a part. */
--- a/src/libforward/follow.c
+++ b/src/libforward/follow.c
@@ -328,6 +328,8 @@
 		forward_relays_apply(
 			follow->engine->relays,
 			json_string_value(json_object_get(document, "relays")));
+	forward_pauses_apply(follow->engine, json_string_value(json_object_get(
+						     document, "pauses")));
 	update_daemon_counts(follow);
 	return true;
 }
@@ -439,6 +441,7 @@
 		append_followers(follow, head);
 	else
 		forward_outliers_append_report(follow->engine, head);
+	forward_pauses_append_report(follow->engine, head);
 	forward_limits_append_report(follow->engine, follow->is_seed, head);
 	forward_limits_append_sizes(follow->engine, head);
 	forward_blocklist_append_report(follow->engine, head);
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -604,6 +604,23 @@
  * skipped. */
 void forward_outliers_apply(struct forward_engine *engine, json_t *outliers);
 
+/* pauses.c: regular pauses of replicas, exchanged through the seeds */
+
+/* Appends the stalls since the last call to the query string of a call. */
+void forward_pauses_append_report(struct forward_engine *engine,
+				  GString *query);
+
+/* Records the stalls that a follower reports. */
+void forward_pauses_add_report(struct forward_engine *engine,
+			       const char *report);
+
+/* Appends predicted pauses as a member to the answer to a follower. */
+void forward_pauses_append(struct forward_engine *engine, GString *body);
+
+/* Applies the pauses that a seed predicts; NULL: none. Invalid entries are
+ * logged and skipped. */
+void forward_pauses_apply(struct forward_engine *engine, const char *pauses);
+
 /* notices.c: replicas that say that they leave, or ask for rest */
 
 /* Records what an answer of the replica says. result: of that answer */
--- a/src/libforward/part.c
+++ b/src/libforward/part.c
@@ -15,6 +15,10 @@
  * capacity for it: the time in which a connection is established. */
 #define HEDGE_RETRY_US (8 * CS_US_PER_MS)
 
+/* Share of the requests that are sent without regard to predicted pauses: they
+ * show whether the replicas still pause then, and hedges make up for them. */
+#define TRY_PAUSES_SHARE 0.04
+
 /* Longest wait of a part, as a share of the job's objective: for a free slot,
  * and for another part of a suspected query, which may be innocent. */
 #define WAIT_MAX_SHARE 0.25
@@ -98,9 +102,14 @@
 					  enum route_unavailable *unavailable)
 {
 	gint64 now = forward_now(part->job->engine);
-	struct route_criteria criteria = {part->route, part->work, part->tried,
+	struct route_criteria criteria = {part->route,
+					  part->work,
+					  part->tried,
 					  part->n_tried,
-					  MAX(wait_end(part) - now, 0)};
+					  MAX(wait_end(part) - now, 0),
+					  part->job->route->idempotent &&
+						  g_random_double() <
+							  TRY_PAUSES_SHARE};
 
 	return route_pool_choose(part->pool, &criteria, now, unavailable);
 }
--- a/src/libforward/peers.c
+++ b/src/libforward/peers.c
@@ -187,6 +187,7 @@
 	g_string_append_c(body, '"');
 	forward_registry_append_known_relays(peers->registry, follower->relays,
 					     body);
+	forward_pauses_append(peers->engine, body);
 	if (view)
 		g_string_append_printf(body, ", \"picture\": \"%s\"", view);
 	g_string_append_c(body, '}');
@@ -327,6 +328,7 @@
 	const char *limits = NULL;
 	const char *blocked = NULL;
 	const char *relays;
+	const char *stalls;
 	struct follower follower = {0};
 	guint64 known = route_blocklist_fingerprint(peers->engine->blocklist);
 	struct sockaddr_in address;
@@ -366,6 +368,9 @@
 		forward_outliers_add_report(peers->engine, seen);
 	if (limits)
 		forward_limits_add_report(peers->engine, limits);
+	stalls = g_hash_table_lookup(parameters, "stalls");
+	if (stalls)
+		forward_pauses_add_report(peers->engine, stalls);
 	if (blocked)
 		follower.blocklist =
 			forward_blocklist_merge(peers->engine, blocked);
--- a/src/libroute/choose.c
+++ b/src/libroute/choose.c
@@ -164,8 +164,19 @@
 	return (gint64)(connect_us(replica) + route_round_trip_us(replica));
 }
 
+/* Time that a predicted pause of the replica would add. */
+static double pause_us(const struct route_criteria *criteria,
+		       const struct route_replica *replica, gint64 now_us)
+{
+	gint64 arrive_us = now_us + (gint64)(connect_us(replica) +
+					     route_round_trip_us(replica) / 2);
+
+	return (double)route_pause_delay_us(&replica->pause, arrive_us,
+					    (gint64)criteria->work->mean_us);
+}
+
 /* Expected time to an answer, including the requests queued before it, a new
- * connection if none is idle, and the risk of a failure. */
+ * connection if none is idle, a pause, and the risk of a failure. */
 static double cost_us(const struct route_criteria *criteria,
 		      const struct route_replica *replica, gint64 now_us)
 {
@@ -174,7 +185,8 @@
 
 	return expected * (1 + queue) +
 	       route_failure_rate(replica, now_us) * FAILURE_COST_US +
-	       connect_us(replica);
+	       connect_us(replica) +
+	       (criteria->try_pauses ? 0 : pause_us(criteria, replica, now_us));
 }
 
 struct route_replica *route_pool_choose(struct route_pool *pool,
--- a/src/libroute/estimate.c
+++ b/src/libroute/estimate.c
@@ -279,6 +279,29 @@
 	mark_suspect(replica, now_us);
 }
 
+/* An answer comes a half round trip after the replica has it. The shortest work
+ * of the requests in a stall is part of its end. */
+static void observe_pause(const struct route_attempt *attempt, gint64 now_us)
+{
+	struct route_replica *replica = attempt->replica;
+	gint64 one_way_us = (gint64)(route_round_trip_us(replica) / 2);
+	gint64 arrived_us = attempt->sent_us + one_way_us;
+	gint64 done_us = now_us - one_way_us;
+	gint64 expected_us =
+		(gint64)route_expected_us(attempt->work, replica, now_us);
+	struct route_stall *unreported = &replica->unreported_stall;
+	struct route_stall stall = {done_us, done_us - arrived_us};
+
+	if (!route_pause_is_stall(now_us - attempt->sent_us, expected_us)) {
+		route_pause_answered(&replica->pause, arrived_us, done_us);
+		return;
+	}
+	route_pause_observe(&replica->pause, stall.end_us, stall.length_us);
+	if (!unreported->end_us || stall.end_us < unreported->end_us)
+		unreported->end_us = stall.end_us;
+	unreported->length_us = MAX(unreported->length_us, stall.length_us);
+}
+
 static void update_estimates(const struct route_attempt *attempt,
 			     enum route_result result, gint64 now_us)
 {
@@ -287,6 +310,7 @@
 	switch (result) {
 	case ROUTE_ANSWERED:
 		route_notice_answered(replica, attempt->sent_us);
+		observe_pause(attempt, now_us);
 		replica->consecutive_failures = 0;
 		replica->suspect_until_us = 0;
 		add_failure_sample(replica, 0, now_us);
--- a/test/unit/test_follow.c
+++ b/test/unit/test_follow.c
@@ -359,6 +359,53 @@
 }
 END_TEST
 
+/* Regular pauses that the daemons meet by turns are predicted by all of them.
+ */
+START_TEST(pauses_met_by_several_daemons_are_predicted_by_all)
+{
+	struct net net = net_create();
+	struct daemon seeds[SEEDS];
+	struct daemon followers[3];
+	gint64 now;
+
+	daemon_start(&net, &seeds[0], 0, "a");
+	daemon_start(&net, &seeds[1], 1, "b");
+	for (guint i = 0; i < 3; i++)
+		daemon_start(&net, &followers[i], 2 + i, "a");
+	for (guint i = 0; i < SEEDS; i++)
+		list_replica(&seeds[i]);
+	for (guint i = 0; i < 3; i++)
+		list_replica(&followers[i]);
+	for (int i = 0; i < 120; i++) {
+		daemon_confirm_view(&net, &seeds[0], 5);
+		daemon_confirm_view(&net, &seeds[1], 5);
+		/* A pause each 2 s; the third follower meets none. */
+		if (i % 20 == 10)
+			record_answer(&net, &followers[i / 20 % 2], 180);
+		net_advance(&net, 100);
+	}
+	/* 0.9 s after the last pause. */
+	now = cs_clock_now(net.clock);
+	for (guint i = 0; i < 3; i++) {
+		const struct route_pause *pause =
+			&replica_of(&followers[i])->pause;
+
+		ck_assert_int_ge(pause->period_us, 1950 * MS);
+		ck_assert_int_le(pause->period_us, 2050 * MS);
+		ck_assert_int_gt(
+			route_pause_delay_us(pause, now + 1000 * MS, 5 * MS),
+			0);
+		ck_assert_int_eq(
+			route_pause_delay_us(pause, now + 300 * MS, 5 * MS), 0);
+	}
+	for (guint i = 0; i < SEEDS; i++)
+		daemon_stop(&seeds[i]);
+	for (guint i = 0; i < 3; i++)
+		daemon_stop(&followers[i]);
+	net_destroy(&net);
+}
+END_TEST
+
 /* Sends a call with a further parameter to a seed. */
 static bool follow_call_is_answered(struct net *net, struct daemon *seed,
 				    const char *parameter)
@@ -457,6 +504,56 @@
 }
 END_TEST
 
+/* Guards against a malformed stall or pause being used, or ending a call. */
+START_TEST(malformed_stalls_and_pauses_are_ignored)
+{
+	static const char *const stalls[] = {
+		"u%253A1:1",
+		"u%253A1:x:1",
+		"u%253A1:-1:1",
+		"u%253A1:1:-1",
+		":::",
+		"nobody:1:1",
+		"u%253A1:99999999999:1",
+		"u%253A1:1:1:1",
+	};
+	static const char *const pauses[] = {
+		"u%3A1:4500:100",	 "u%3A1:0:100:190",
+		"u%3A1:-1:100:190",	 "u%3A1:4500:x:190",
+		"u%3A1:4500:100:-1",	 "u%3A1:4500:100:190:1",
+		"u%3A1:99999999999:1:1", "nobody:4500:100:190",
+	};
+	struct net net = net_create();
+	struct daemon seed;
+
+	cs_clock_advance(net.clock, 100 * CS_US_PER_S);
+	daemon_start(&net, &seed, 0, "a");
+	list_replica(&seed);
+	daemon_confirm_view(&net, &seed, 5);
+	for (gsize i = 0; i < G_N_ELEMENTS(stalls); i++) {
+		g_autofree char *parameter =
+			g_strdup_printf("&stalls=%s", stalls[i]);
+
+		ck_assert_msg(follow_call_is_answered(&net, &seed, parameter),
+			      "report %zu", i);
+	}
+	ck_assert_int_eq(replica_of(&seed)->pause.ends_us[0], 0);
+	daemon_stop(&seed);
+	for (gsize i = 0; i < G_N_ELEMENTS(pauses); i++) {
+		g_autofree char *extra =
+			g_strdup_printf("\"pauses\": \"%s\"", pauses[i]);
+		struct daemon follower;
+		struct net_server *server =
+			start_follower(&net, &follower, extra);
+
+		ck_assert_int_eq(replica_of(&follower)->pause.period_us, 0);
+		daemon_stop(&follower);
+		net_server_destroy(server);
+	}
+	net_destroy(&net);
+}
+END_TEST
+
 /* A malformed limit or place is left out, and the others are used. */
 START_TEST(malformed_limits_and_places_are_ignored)
 {
@@ -552,12 +649,13 @@
 {
 	static const char call[] =
 		"&callers=0000abcd:a,0000abce:b,&seen=u%253A1:3:1:90,"
-		"&limits=u%253A1:0:9.5:310,";
+		"&limits=u%253A1:0:9.5:310,&stalls=u%253A1:310:190,";
 	static const char answer[] =
 		"{\"daemons\": 7, \"daemons_in_zone\": 3, \"age_ms\": 120, "
 		"\"outliers\": [[\"u:1\", 4.2, 0.0]], "
 		"\"limits\": [[\"u:1\", 0, 9.5, 310]], "
 		"\"places\": {\"east\": [true, 0, 3, 4]}, "
+		"\"pauses\": \"u%3A1:4500:310:190,\", "
 		"\"picture\": \"H4sIAAAAAAAAA6uuBQBDv6ajAgAAAA==\"}";
 	GRand *random = g_rand_new_with_seed(17);
 	struct net net = net_create();
@@ -729,6 +827,8 @@
 	  a_seed_holds_calls_until_its_first_view,
 	  a_daemon_that_changes_its_seed_counts_once,
 	  outliers_seen_by_one_daemon_reach_the_others,
+	  pauses_met_by_several_daemons_are_predicted_by_all,
+	  malformed_stalls_and_pauses_are_ignored,
 	  malformed_reports_and_outliers_are_ignored,
 	  malformed_limits_and_places_are_ignored,
 	  damaged_messages_between_daemons_end_no_process,
