--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -24,6 +24,8 @@
             further request on it
   rest      a replica that has asked for rest on a connection gets no request
             on it until REST_S later
+  answered  a request that a replica has run gets an answer from a daemon that
+            stops after SIGTERM
   version   the version of the configuration in force at a daemon never falls
             while its process runs, and is the last one written at the end
   recover   of the requests sent later than 4 s after the last fault and
@@ -33,8 +35,8 @@
 Usage: soak.py DAEMON [--seed N] [--runs N] [--seconds S] [--daemons N]
                [--logs DIR] [--beside DAEMON]
 
-With --beside every other daemon runs another build, whose versions are not
-checked.
+With --beside every other daemon runs another build, whose versions and answers
+during a stop are not checked.
 """
 import argparse
 import asyncio
@@ -167,7 +169,8 @@
 
     fault affects about half of the requests: "refuse" answers 503 with a proof
     that the request did not run, "lose" aborts the connection after the run,
-    "truncate" leaves out the last bytes of the answer, "duplicate" sends the
+    "truncate" leaves out the last bytes of the answer, "break" closes the
+    connection within the head of the answer, "duplicate" sends the
     answer twice, "surplus" sends further bytes after the answer. Until
     pause_until the replica completes no request. A limited replica names a rate
     limit in its answers and records when they were sent and requests arrived.
@@ -260,6 +263,11 @@
             names["Server-Leaving"] = "1"
             said["leaving"] = True
         whole = answer_bytes(200, names, out)
+        if fault == "break":
+            out = answer_bytes(200, names, out)
+            writer.write(out[:testbed.random.randrange(
+                out.index(b"\r\n\r\n") + 4)])
+            return False
         if fault == "truncate":
             writer.write(whole[:-3])
             return False
@@ -374,6 +382,8 @@
     async def stop(self, number):
         """Send a signal that ends the process, also if suspended, and wait."""
         self.expect_exit = True
+        if number == signal.SIGTERM and not self.is_other:
+            self.testbed.terminated.add(self.process)
         self.send_signal(signal.SIGCONT)
         self.send_signal(number)
         await self.process.wait()
@@ -406,6 +416,7 @@
         self.replicas, self.proxies, self.seed_proxies = [], [], []
         self.stopping, self.servers = False, []
         self.crashes, self.restarts = [], []
+        self.terminated = set()  # processes that got SIGTERM
         self.newest, self.seen = None, {}
 
     def breach(self, rule, text):
@@ -498,8 +509,8 @@
 
     # ---- callers ----
 
-    async def send_request(self, reader, writer, unsafe):
-        """Send one request and check the answer.
+    async def send_request(self, reader, writer, process, unsafe):
+        """Send one request to a daemon's process and check the answer.
 
         unsafe selects the route of non-idempotent requests; some of these are
         deadly. Return whether the connection stays open.
@@ -516,6 +527,8 @@
                       f"Content-Length: {len(body)}\r\n\r\n{body}").encode())
         message = await asyncio.wait_for(read_message(reader), 6)
         if not message:
+            if process in self.terminated and self.runs[request_id]:
+                self.breach("answered", f"{request_id} ran and got no answer")
             return False
         entry["status"] = int(message[0].split()[1])
         if 200 <= entry["status"] < 300:
@@ -551,10 +564,10 @@
     async def run_caller(self):
         """Simulate one caller, which sends many requests per connection."""
         while not self.stopping:
-            ip = self.random.choice(self.daemons).ip
+            daemon = self.random.choice(self.daemons)
             try:
                 reader, writer = await asyncio.wait_for(
-                    asyncio.open_connection(ip, self.base), 1)
+                    asyncio.open_connection(daemon.ip, self.base), 1)
             except (OSError, asyncio.TimeoutError):
                 await asyncio.sleep(0.05)
                 continue
@@ -562,7 +575,7 @@
                 while not self.stopping:
                     unsafe = self.random.random() < 0.4
                     if not await self.send_request(reader, writer,
-                                                   unsafe):
+                                                   daemon.process, unsafe):
                         break
                     await asyncio.sleep(self.random.expovariate(20))
                     if self.random.random() < 0.02:
@@ -582,7 +595,7 @@
         kind = pick.choice(["proxy", "proxy", "reset", "suspend", "kill",
                             "term", "hup", "replica", "replica", "pause",
                             "crash", "drain", "config", "compact", "refuse",
-                            "restore", "restore", "leave"])
+                            "restore", "restore", "leave", "odd", "odd"])
         if kind == "proxy":
             proxy.mode = pick.choice(["slow", "silent", "one-way"])
             await asyncio.sleep(span)
@@ -601,7 +614,7 @@
         elif kind == "hup":
             daemon.send_signal(signal.SIGHUP)
         elif kind == "replica":
-            replica.fault = pick.choice(["refuse", "lose", "truncate",
+            replica.fault = pick.choice(["refuse", "lose", "truncate", "break",
                                          "duplicate", "surplus", "rest"])
             await asyncio.sleep(span)
             replica.fault = None
@@ -617,11 +630,29 @@
             await self.restore_store()
         elif kind == "leave":
             await self.leave(replica)
+        elif kind == "odd":
+            await self.write_odd_entry(span)
         elif kind == "refuse":
             self.store.refuse = True
             await asyncio.sleep(span)
             self.store.refuse = False
 
+    async def write_odd_entry(self, span):
+        """Another writer leaves an entry that names no replica."""
+        entry = {"service": UNSAFE_SERVICE, "zone": self.zones[0],
+                 "address": "127.0.0.1:1", "version": "v1", "slots": 4,
+                 "state": "ready", "warmupLeftMs": 0, "sequence": 1}
+        key = f"servers/odd-{self.random.randrange(10**6)}"
+        name, value = self.random.choice([
+            ("slots", 10**30), ("sequence", -1), ("warmupLeftMs", 1.5e300),
+            ("address", "127.0.0.1:65536"), ("address", "127.0.0.1:0"),
+            ("address", "255.255.255.255:80"), ("service", [[[[]]]]),
+            ("tags", json.loads("[" * 500 + "]" * 500))])
+        entry[name] = value
+        self.store.put(key, entry)
+        await asyncio.sleep(span)
+        self.store.put(key, None)
+
     async def leave(self, replica):
         """A replica says in its answers that it leaves, not to the store."""
         if replica.limited or replica.leaving:
