route: Ignore a pause of another daemon that could not have been learned here

A damaged message with a period of a quarter of an hour, or such a length, would have a replica avoided for up to three hours: a prediction holds for twelve periods. Found when the diff was read; the new lines of the test failed before (the period was taken).

--- a/include/cuminsail/route_pause.h
+++ b/include/cuminsail/route_pause.h
@@ -72,7 +72,8 @@
 /**
  * route_pause_learn - take another daemon's knowledge
  * @pause: of the replica
- * @other: with a period; ignored if the own knowledge is of a later pause
+ * @other: ignored if its period or length is none that is learned here, or if
+ *	the own knowledge is of a later pause
  */
 void route_pause_learn(struct route_pause *pause,
 		       const struct route_pause *other);
--- a/src/libroute/pause.c
+++ b/src/libroute/pause.c
@@ -202,6 +202,10 @@
 void route_pause_learn(struct route_pause *pause,
 		       const struct route_pause *other)
 {
+	if (other->period_us < PERIOD_MIN_US ||
+	    other->period_us > PERIOD_MAX_US ||
+	    other->length_us > LENGTH_MAX_US)
+		return;
 	if (pause->period_us && pause->end_us + TOLERANCE_US >= other->end_us)
 		return;
 	pause->period_us = other->period_us;
--- a/test/unit/test_pause.c
+++ b/test/unit/test_pause.c
@@ -135,6 +135,16 @@
 	pause = (struct route_pause){0};
 	route_pause_learn(&pause, &other);
 	ck_assert_int_eq(pause.period_us, PERIOD);
+	/* A replica is not avoided for hours because of one damaged message. */
+	pause = (struct route_pause){0};
+	other.period_us = 900000 * MS;
+	route_pause_learn(&pause, &other);
+	other.period_us = 2 * MS;
+	route_pause_learn(&pause, &other);
+	other.period_us = PERIOD;
+	other.length_us = 900000 * MS;
+	route_pause_learn(&pause, &other);
+	ck_assert_int_eq(pause.period_us, 0);
 }
 END_TEST
 
