http: A status line that the grammar does not have is no answer

A replica in trouble sent an answer whose status was 000. Callers got it as an answer, "HTTP/1.1 0 Status", to a single request and to an order; with the replica's proof of "not run" in its head it even counted as such a proof. The same held for 099, 20, 600 and 999, for 0200, which was passed on as 200, and for other bytes in place of the protocol, its version or the line's end.

http-parser reads one to three digits, any version and, as Debian builds it, any byte where it expects a fixed one, and nothing behind it checked them. Now the bytes of answers are checked before they are parsed, at the one place that all readers of answers use (http1_reader). A status line is "HTTP/1." and a digit, a blank, a status of 100 to 599 and a reason phrase without control bytes; the phrase and the blank before it may be missing, as before. 101 is refused, as no daemon asks for another protocol. What is no answer is logged with the address and the reason (answer-invalid), and an attempt that met it names the reason in attempt-lost.

Failed before: unit answer, bytes_that_are_no_answer_are_refused (status 000 was complete); unit forward, a_broken_answer_reaches_no_caller, in its first case: the caller of a single request got "HTTP/1.1 0 Status" with the replica's body. Both pass now, as does a list of 23 sound answers that look odd, which passed before too.

--- a/include/cuminsail/http1.h
+++ b/include/cuminsail/http1.h
@@ -265,7 +265,8 @@
  * @length: number of bytes
  * @used: set to the number of bytes that belong to this message
  *
- * Interim answers (status 1xx) are skipped.
+ * Interim answers (status 1xx) are skipped. An answer must keep to the grammar
+ * of HTTP/1.1, also where the parser would accept more.
  *
  * Return: the state of the message.
  */
@@ -273,6 +274,15 @@
 					  const char *bytes, gsize length,
 					  gsize *used);
 
+/**
+ * http1_reader_fault - get the reason why a message was refused
+ * @reader: a reader
+ *
+ * Return: a word for the log, a static string; NULL if the message is complete
+ * or more bytes are needed.
+ */
+const char *http1_reader_fault(const struct http1_reader *reader);
+
 /**
  * http1_reader_eof - handle the orderly close of the connection by the sender
  * @reader: a reader whose message is not complete
@@ -543,6 +553,16 @@
  */
 bool http1_client_idle(const struct http1_client *client);
 
+/**
+ * http1_client_fault - get the reason why received bytes were no answer
+ * @client: a connection; also in the closed callback
+ *
+ * Such bytes are also logged.
+ *
+ * Return: a word for the log, a static string; NULL if there is none.
+ */
+const char *http1_client_fault(const struct http1_client *client);
+
 /**
  * http1_client_close - close a connection without a callback
  * @client: a connection; must not be used afterwards
--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -316,6 +316,24 @@
 			       attempt->route.replica);
 }
 
+/* Return: a word for the log. */
+static const char *failure_reason(const struct http1_client *client,
+				  enum http1_failure failure)
+{
+	const char *fault = http1_client_fault(client);
+
+	switch (failure) {
+	case HTTP1_NOT_CONNECTED:
+		return "not-connected";
+	case HTTP1_CLOSED:
+		return "closed";
+	case HTTP1_BROKEN:
+	case HTTP1_TOO_LARGE:
+		break;
+	}
+	return fault ? fault : "broken";
+}
+
 static void on_closed(struct http1_client *client, enum http1_failure failure,
 		      void *user)
 {
@@ -333,10 +351,7 @@
 	if (!not_run && !connection->last_used_us)
 		route_replica_saturated(connection->link->replica,
 					forward_now(connection->link->engine));
-	log_attempt(attempt, "attempt-lost",
-		    not_run		      ? "not-connected"
-		    : failure == HTTP1_CLOSED ? "closed"
-					      : "broken",
+	log_attempt(attempt, "attempt-lost", failure_reason(client, failure),
 		    0);
 	if (!connection->link->to_peer)
 		replica_failed(attempt, not_run);
--- a/src/libhttp/client.c
+++ b/src/libhttp/client.c
@@ -1,7 +1,9 @@
 /* HTTP client connections. */
 #include "socket.h"
 
+#include "cuminsail/endpoint.h"
 #include "cuminsail/error.h"
+#include "cuminsail/log.h"
 
 #include <errno.h>
 #include <sys/epoll.h>
@@ -15,6 +17,7 @@
 struct http1_client {
 	struct http1_watch watch;
 	struct http1_loop *loop;
+	struct sockaddr_in to;
 	struct http1_client_hooks hooks;
 	struct http1_reader *reader;
 	GByteArray *output; /* bytes still to be written */
@@ -98,6 +101,20 @@
 	return true;
 }
 
+const char *http1_client_fault(const struct http1_client *client)
+{
+	return http1_reader_fault(client->reader);
+}
+
+static void log_fault(const struct http1_client *client)
+{
+	char from[CS_ENDPOINT_TEXT_SIZE];
+
+	cs_endpoint_print(&client->to, from);
+	cs_log(LOG_NOTICE, "answer-invalid", "from", from, "reason",
+	       http1_client_fault(client), NULL);
+}
+
 static void parse_bytes(struct http1_client *client, const char *bytes,
 			gsize length)
 {
@@ -114,6 +131,7 @@
 		if (state == HTTP1_INCOMPLETE)
 			return;
 		if (state != HTTP1_COMPLETE) {
+			log_fault(client);
 			close_with_failure(client, state == HTTP1_INVALID
 							   ? HTTP1_BROKEN
 							   : HTTP1_TOO_LARGE);
@@ -254,6 +272,7 @@
 	http1_socket_set_options(fd);
 	client = g_new0(struct http1_client, 1);
 	client->loop = loop;
+	client->to = *to;
 	client->hooks = *hooks;
 	client->watch.fd = fd;
 	client->watch.ready = on_ready;
--- a/src/libhttp/message.c
+++ b/src/libhttp/message.c
@@ -1,4 +1,5 @@
 /* Parsing of HTTP/1.1 messages with http-parser. */
+#include "grammar.h"
 #include "socket.h"
 
 #include <http_parser.h>
@@ -9,11 +10,13 @@
 
 struct http1_reader {
 	http_parser parser;
+	struct http1_grammar *grammar; /* of answers; NULL for requests */
 	const struct http1_limits *limits;
 	struct http1_memory *memory; /* of the limits, until it is released */
 	struct http1_message message;
 	gsize head_bytes; /* size of the header section, including the target */
 	bool requests; /* parses requests, otherwise answers */
+	const char *fault; /* why bytes are no answer, or NULL */
 	bool no_body; /* the answer has no body, as for HEAD */
 	bool started; /* a byte of the message was received */
 	bool head_complete;
@@ -205,6 +208,8 @@
 	reader->head_complete = false;
 	reader->in_value = false;
 	reader->head_bytes = 0;
+	if (reader->grammar)
+		http1_grammar_reset(reader->grammar);
 }
 
 static int on_message_complete(http_parser *parser)
@@ -240,6 +245,7 @@
 	struct http1_reader *reader = g_new0(struct http1_reader, 1);
 
 	reader->requests = requests;
+	reader->grammar = requests ? NULL : http1_grammar_create();
 	reader->limits = limits;
 	reader->memory = limits->memory;
 	reader->message.text = g_string_sized_new(256);
@@ -270,6 +276,7 @@
 	if (!reader)
 		return;
 	http1_reader_release_memory(reader);
+	http1_grammar_destroy(reader->grammar);
 	g_string_free(reader->message.text, TRUE);
 	g_string_free(reader->message.target, TRUE);
 	g_byte_array_unref(reader->message.body);
@@ -286,6 +293,7 @@
 	reader->started = false;
 	reader->complete = false;
 	reader->error = HTTP1_INCOMPLETE;
+	reader->fault = NULL;
 }
 
 static enum http1_reader_state current_state(const struct http1_reader *reader)
@@ -301,13 +309,60 @@
 	return HTTP1_INCOMPLETE;
 }
 
+/* Parses bytes of an answer up to the end of a head, or all of them.
+ * Return: the number of bytes. */
+static gsize parse_checked(struct http1_reader *reader, const char *bytes,
+			   gsize length)
+{
+	gsize n = http1_grammar_check(reader->grammar, bytes, length,
+				      &reader->fault);
+
+	if (reader->fault)
+		reader->error = HTTP1_INVALID;
+	else if (http1_grammar_pending(reader->grammar) >
+		 reader->limits->header_bytes)
+		reader->error = HTTP1_HEAD_TOO_LARGE;
+	if (reader->error != HTTP1_INCOMPLETE)
+		return 0;
+	return http_parser_execute(&reader->parser, &callbacks, bytes, n);
+}
+
 enum http1_reader_state http1_reader_feed(struct http1_reader *reader,
 					  const char *bytes, gsize length,
 					  gsize *used)
 {
+	enum http1_reader_state state = HTTP1_INCOMPLETE;
+
 	reader->started = reader->started || length > 0;
-	*used = http_parser_execute(&reader->parser, &callbacks, bytes, length);
-	return current_state(reader);
+	if (reader->requests) {
+		*used = http_parser_execute(&reader->parser, &callbacks, bytes,
+					    length);
+		return current_state(reader);
+	}
+	*used = 0;
+	while (*used < length && state == HTTP1_INCOMPLETE) {
+		*used += parse_checked(reader, bytes + *used, length - *used);
+		state = current_state(reader);
+	}
+	return state;
+}
+
+const char *http1_reader_fault(const struct http1_reader *reader)
+{
+	if (reader->fault)
+		return reader->fault;
+	switch (current_state(reader)) {
+	case HTTP1_INVALID:
+		return http_errno_name(HTTP_PARSER_ERRNO(&reader->parser));
+	case HTTP1_HEAD_TOO_LARGE:
+		return "head-too-large";
+	case HTTP1_BODY_TOO_LARGE:
+		return "body-too-large";
+	case HTTP1_INCOMPLETE:
+	case HTTP1_COMPLETE:
+		break;
+	}
+	return NULL;
 }
 
 enum http1_reader_state http1_reader_eof(struct http1_reader *reader)
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -1,4 +1,5 @@
 /* Forwarding: replies to callers and requests sent to replicas. */
+#include "answers.h"
 #include "net.h"
 #include "unit.h"
 
@@ -868,6 +869,125 @@
 }
 END_TEST
 
+#define RECORD_16 "0123456789abcdef"
+
+/* The replicas of shard s0 send an answer and close the connection, or the
+ * first one only; the others give good answers. */
+static void start_replicas(struct fixture *fixture, const char *answer,
+			   guint n_with_it)
+{
+	for (guint i = 0; i < REPLICAS_MAX; i++) {
+		bool with_it = i < n_with_it;
+
+		start_replica(fixture, i,
+			      with_it ? g_strdup(answer)
+				      : signed_answer(i, 200, ""),
+			      with_it);
+	}
+}
+
+/* Guards against a broken answer that reaches a caller, or that counts as proof
+ * that the request did not run. */
+START_TEST(a_broken_answer_reaches_no_caller)
+{
+	static const struct {
+		const char *line;
+		guint status;
+		guint sent; /* to the replicas of s0 */
+	} cases[] = {
+		{"GET /one/", 502, 2},
+		{"GET /once/", 502, 1},
+		{"GET /single/", 502, 2},
+		{"GET /all/", 200, 2},
+	};
+
+	for (gsize i = 0; i < 8 * answers_broken.n; i++) {
+		const char *template = answers_broken.templates[i / 8];
+		g_autofree char *answer =
+			answers_print(template,
+				      i % 8 < 4 ? "Id: r1\r\nSigned: s0\r\n"
+						: "Id: r1\r\nNot-Run: 1\r\n",
+				      RECORD_16);
+		struct fixture fixture;
+		struct net_client *client;
+
+		fixture_create(&fixture);
+		fixture_publish(&fixture);
+		start_replicas(&fixture, answer, 2);
+		client = send_request(&fixture, cases[i % 4].line);
+		wait_for_status(&fixture, client);
+		ck_assert_msg(status_of(client) == cases[i % 4].status,
+			      "%s after %s: %s", cases[i % 4].line, template,
+			      client->received->str);
+		ck_assert_ptr_null(strstr(client->received->str, "0123"));
+		ck_assert_ptr_null(strstr(client->received->str, "s0"));
+		ck_assert_uint_eq(fixture.servers[0]->requests +
+					  fixture.servers[1]->requests,
+				  cases[i % 4].sent);
+		if (cases[i % 4].status == 200)
+			ck_assert_ptr_nonnull(strstr(client->received->str,
+						     "Missing: 1\r\n"));
+		net_close(client);
+		fixture_destroy(&fixture);
+	}
+}
+END_TEST
+
+START_TEST(after_a_broken_answer_another_replica_is_asked)
+{
+	static const char *const lines[] = {"GET /one/", "GET /all/"};
+
+	for (gsize i = 0; i < answers_broken.n * G_N_ELEMENTS(lines); i++) {
+		g_autofree char *answer =
+			answers_print(answers_broken.templates[i / 2],
+				      "Id: r1\r\nSigned: s0\r\n", RECORD_16);
+		struct fixture fixture;
+		struct net_client *client;
+
+		fixture_create(&fixture);
+		fixture_publish(&fixture);
+		start_replicas(&fixture, answer, 1);
+		client = send_request(&fixture, lines[i % 2]);
+		wait_for_status(&fixture, client);
+		ck_assert_msg(status_of(client) == 200, "%s after %s: %s",
+			      lines[i % 2], answer, client->received->str);
+		ck_assert_ptr_null(strstr(client->received->str, "s0"));
+		ck_assert_ptr_nonnull(strstr(client->received->str, "s1"));
+		net_close(client);
+		fixture_destroy(&fixture);
+	}
+}
+END_TEST
+
+/* Guards against answers that are refused for their looks. */
+START_TEST(a_sound_answer_that_looks_odd_reaches_the_caller)
+{
+	static const char *const lines[] = {"GET /one/", "GET /once/",
+					    "GET /single/", "GET /all/"};
+
+	for (gsize i = 0; i < answers_sound.n * G_N_ELEMENTS(lines); i++) {
+		g_autofree char *answer =
+			answers_print(answers_sound.templates[i / 4],
+				      "Id: r1\r\nSigned: s0\r\n", RECORD_16);
+		struct fixture fixture;
+		struct net_client *client;
+
+		fixture_create(&fixture);
+		fixture_publish(&fixture);
+		start_replicas(&fixture, answer, 1);
+		client = send_request(&fixture, lines[i % 4]);
+		wait_for_status(&fixture, client);
+		ck_assert_msg(status_of(client) / 100 == 2, "%s after %s: %s",
+			      lines[i % 4], answer, client->received->str);
+		ck_assert(g_str_has_suffix(client->received->str,
+					   "\r\n\r\n" RECORD_16));
+		ck_assert_uint_eq(fixture.servers[1]->requests, 0);
+		net_close(client);
+		fixture_destroy(&fixture);
+	}
+}
+END_TEST
+
 /* Guards against requests that all wait for a replica to which no connection
  * can be opened: its entry has the address of no machine. */
 START_TEST(a_replica_with_an_unusable_address_takes_no_requests)
@@ -1522,5 +1642,8 @@
 	  settings_errors_name_the_key, a_reload_aborts_no_request,
 	  a_stopping_daemon_serves_until_the_balancer_reacts,
 	  an_answer_that_breaks_off_is_never_passed_on,
+	  a_broken_answer_reaches_no_caller,
+	  after_a_broken_answer_another_replica_is_asked,
+	  a_sound_answer_that_looks_odd_reaches_the_caller,
 	  a_request_that_a_stop_would_cut_gets_an_answer,
 	  a_replica_with_an_unusable_address_takes_no_requests)
