test: A header field whose name holds a blank or a control byte

Reported of other systems: a client got such an answer, with the line passed on or with a body that was not the replica's. Here it does not: a blank in a name, in front of it or before the colon, also of Content-Length and Transfer-Encoding, control bytes, other bytes that no name has, no name, and no colon are refused, in the head of an answer and of an interim one. 14 kinds for single requests, orders and parts, with and without a proof of "not run". Names in trailers are another matter and follow.

--- a/test/unit/answers.c
+++ b/test/unit/answers.c
@@ -85,6 +85,22 @@
 	" HTTP/1.1 200 OK\r\n" WITH_LENGTH,
 	"\r\nHTTP/1.1 200 OK\r\n" WITH_LENGTH,
 	"HTTP/1.1 100 Continue\r\n\r\n\r\nHTTP/1.1 200 OK\r\n" WITH_LENGTH,
+	/* Names of header fields. */
+	LINE("A b: c\r\n"),
+	LINE("A : c\r\n"),
+	LINE(" A: c\r\n"),
+	LINE("A\tb: c\r\n"),
+	LINE("A\001b: c\r\n"),
+	LINE("A\177: c\r\n"),
+	LINE("A\303\244: c\r\n"),
+	LINE("A(b): c\r\n"),
+	LINE(": c\r\n"),
+	LINE("A\r\n"),
+	"HTTP/1.1 200 OK\r\n$fContent-Length : $n\r\n\r\n$p",
+	"HTTP/1.1 200 OK\r\n$fContent-Length\t: $n\r\n\r\n$p",
+	"HTTP/1.1 200 OK\r\n$fTransfer-Encoding : chunked\r\n\r\n"
+	"$h\r\n$p\r\n" LAST_CHUNK,
+	"HTTP/1.1 103 Odd\r\nA b: c\r\n\r\nHTTP/1.1 200 OK\r\n" WITH_LENGTH,
 };
 
 const struct answers answers_sound = {sound, G_N_ELEMENTS(sound)};
