http: Control bytes in values, folded lines and other line ends

Callers got the header lines of broken answers: a value whose first byte was a control byte, with that byte (an escape sequence, or a NUL that cut the value off); a value folded over two lines, glued together without the blank; and answers whose lines end with LF alone or whose head ends with any byte after a CR, of which the one behind it is then missing in the body.

The parser checks a value from its second byte on, accepts LF for CRLF and, built without its strict mode, any byte after a CR. RFC 9112 lets a gateway refuse folded lines, and a recipient need not accept LF alone.

Each line of a head is now checked once it is complete: a token, a colon, and blanks, visible characters and bytes above 127. A CR in a line that is not complete is refused at once, as the parser may take it for the line's end.

--- a/src/libhttp/grammar.c
+++ b/src/libhttp/grammar.c
@@ -44,6 +44,15 @@
 
 /* ---- lines, without their CRLF ---- */
 
+static const bool is_token_byte[256] = {
+	['0' ... '9'] = true, ['A' ... 'Z'] = true, ['a' ... 'z'] = true,
+	['!'] = true,	      ['#'] = true,	    ['$'] = true,
+	['%'] = true,	      ['&'] = true,	    ['\''] = true,
+	['*'] = true,	      ['+'] = true,	    ['-'] = true,
+	['.'] = true,	      ['^'] = true,	    ['_'] = true,
+	['`'] = true,	      ['|'] = true,	    ['~'] = true,
+};
+
 /* Return: whether all bytes may be in a reason phrase or a field value: blanks,
  * visible characters and bytes above 127. */
 static bool is_text(const char *bytes, gsize n)
@@ -76,26 +85,46 @@
 	return is_text(line + REASON, n - REASON) ? NULL : "reason-phrase";
 }
 
+/* Return: the number of bytes at the begin that may be in a token. */
+static gsize token_length(const char *bytes, gsize n)
+{
+	gsize i = 0;
+
+	while (i < n && is_token_byte[(guchar)bytes[i]])
+		i++;
+	return i;
+}
+
+/* A line that begins with a blank would continue the value before it. */
+static const char *check_field_line(const char *line, gsize n)
+{
+	gsize name = token_length(line, n);
+
+	if (line[0] == ' ' || line[0] == '\t')
+		return "folded-field";
+	if (!name || name == n || line[name] != ':')
+		return "field-name";
+	return is_text(line + name, n - name) ? NULL : "field-value";
+}
+
 static const char *check_line(struct http1_grammar *grammar, const char *line,
 			      gsize n)
 {
-	const char *fault = NULL;
-
+	if (!n || line[--n] != '\r')
+		return "line-end";
 	switch (grammar->part) {
 	case STATUS_LINE:
-		if (!n || line[--n] != '\r')
-			return "line-end";
-		fault = check_status_line(line, n);
 		grammar->part = FIELD_LINE;
-		break;
+		return check_status_line(line, n);
 	case FIELD_LINE:
-		if (!n || !strncmp(line, "\r", n))
-			grammar->part = BODY;
+		if (n)
+			return check_field_line(line, n);
+		grammar->part = BODY;
 		break;
 	case BODY:
 		break;
 	}
-	return fault;
+	return NULL;
 }
 
 /* ---- bytes ---- */
@@ -107,16 +136,22 @@
 {
 	const char *end = memchr(bytes, '\n', length);
 	gsize n = end ? (gsize)(end - bytes) : length;
+	GString *line = grammar->line;
+	gsize known = line->len ? line->len - 1 : 0; /* without a CR */
 
-	if (end && !grammar->line->len) {
+	if (end && !line->len) {
 		*fault = check_line(grammar, bytes, n);
 		return n + 1;
 	}
-	g_string_append_len(grammar->line, bytes, (gssize)n);
-	if (!end)
+	g_string_append_len(line, bytes, (gssize)n);
+	if (!end) {
+		/* The parser may take a CR alone for the end of a line. */
+		if (n && memchr(line->str + known, '\r', line->len - 1 - known))
+			*fault = "line-end";
 		return n;
-	*fault = check_line(grammar, grammar->line->str, grammar->line->len);
-	g_string_truncate(grammar->line, 0);
+	}
+	*fault = check_line(grammar, line->str, line->len);
+	g_string_truncate(line, 0);
 	return n + 1;
 }
 
--- a/test/unit/answers.c
+++ b/test/unit/answers.c
@@ -101,6 +101,23 @@
 	"HTTP/1.1 200 OK\r\n$fTransfer-Encoding : chunked\r\n\r\n"
 	"$h\r\n$p\r\n" LAST_CHUNK,
 	"HTTP/1.1 103 Odd\r\nA b: c\r\n\r\nHTTP/1.1 200 OK\r\n" WITH_LENGTH,
+	/* Values of header fields. */
+	LINE("A: \001b\r\n"),
+	LINE("A:\001\r\n"),
+	LINE("A: b\001\r\n"),
+	LINE("A: b\177\r\n"),
+	LINE("A: \033[1m\r\n"),
+	LINE("A: b\rc\r\n"),
+	LINE("A: b\r\n c\r\n"),
+	LINE("A:\r\n\tb\r\n"),
+	"HTTP/1.1 103 Odd\r\nA: \001\r\n\r\nHTTP/1.1 200 OK\r\n" WITH_LENGTH,
+	/* Ends of lines. */
+	LINE("A: b\n"),
+	LINE("A:\n"),
+	LINE("A: b\r\r\n"),
+	"HTTP/1.1 200 OK\r\n$fContent-Length: $n\r\n\n$p",
+	"HTTP/1.1 200 OK\r\n$fContent-Length: $n\r\n\r$p",
+	"HTTP/1.1 200 OK\r\n$fContent-Length: $n\r\n\rX$p",
 };
 
 const struct answers answers_sound = {sound, G_N_ELEMENTS(sound)};
