http: A body in a transfer coding that is not read is no answer

Callers got bodies that were not the replica's: with "Transfer-Encoding: gzip" or "gzip, chunked" the coded bytes without the name of their coding, with "chunked, gzip" or a tab after "chunked" the chunks' sizes among them, and all of these as success, with the replica's signature.

Where the last coding is not "chunked", the parser reads up to the end of the connection and says nothing of it; other codings before it are ignored. Now a body may have the coding "chunked" alone, once, and not from HTTP/1.0. A tab after it is a blank and is read. The kinds of a wrong Content-Length in the test were refused before.

--- a/src/libhttp/message.c
+++ b/src/libhttp/message.c
@@ -125,6 +125,41 @@
 	       parser->content_length != ULLONG_MAX;
 }
 
+/* Return: whether a value is one word, with blanks around it or without. */
+static bool is_word(const char *value, const char *word)
+{
+	gsize length = strlen(word);
+
+	value += strspn(value, " \t");
+	return !g_ascii_strncasecmp(value, word, length) &&
+	       !value[length + strspn(value + length, " \t")];
+}
+
+/* Return: NULL, or why the body of an answer cannot be read: its transfer
+ * coding must be "chunked" alone, which HTTP/1.0 does not have. */
+static const char *check_coding(struct http1_reader *reader)
+{
+	const struct http1_message *message = &reader->message;
+	guint n = 0;
+
+	for (guint i = 0; i < message->n_headers; i++) {
+		const char *text = message->text->str;
+
+		if (g_ascii_strcasecmp(text + message->headers[i].name,
+				       "Transfer-Encoding") != 0)
+			continue;
+		if (n++ ||
+		    !is_word(text + message->headers[i].value, "chunked"))
+			return "transfer-coding";
+	}
+	if (n && !reader->parser.http_minor)
+		return "transfer-coding";
+	/* The parser does not know the coding with a tab after it. */
+	if (n)
+		reader->parser.flags |= F_CHUNKED;
+	return NULL;
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	struct http1_reader *reader = reader_of(parser);
@@ -143,6 +178,11 @@
 		}
 	} else {
 		message->status = parser->status_code;
+		reader->fault = check_coding(reader);
+		if (reader->fault) {
+			reader->error = HTTP1_INVALID;
+			return -1;
+		}
 	}
 	message->keep_alive = http_should_keep_alive(parser);
 	message->self_delimited = is_self_delimited(reader);
--- a/test/unit/answers.c
+++ b/test/unit/answers.c
@@ -46,6 +46,8 @@
 	CHUNKS("$h\r\n$p\r\n0\r\nA: b\r\nC:\r\n\r\n"),
 	"HTTP/1.1 200 OK\r\n$fTransfer-Encoding:\tChunked\r\n\r\n"
 	"$h\r\n$p\r\n" LAST_CHUNK,
+	"HTTP/1.1 200 OK\r\n$fTransfer-Encoding: chunked \t\r\n\r\n"
+	"$h\r\n$p\r\n" LAST_CHUNK,
 };
 
 static const char *const broken[] = {
@@ -118,6 +120,36 @@
 	"HTTP/1.1 200 OK\r\n$fContent-Length: $n\r\n\n$p",
 	"HTTP/1.1 200 OK\r\n$fContent-Length: $n\r\n\r$p",
 	"HTTP/1.1 200 OK\r\n$fContent-Length: $n\r\n\rX$p",
+	/* Length of the body. */
+	"HTTP/1.1 200 OK\r\n$fContent-Length: +$n\r\n\r\n$p",
+	"HTTP/1.1 200 OK\r\n$fContent-Length: 0x$h\r\n\r\n$p",
+	"HTTP/1.1 200 OK\r\n$fContent-Length: $nx\r\n\r\n$p",
+	"HTTP/1.1 200 OK\r\n$fContent-Length: $n, $n\r\n\r\n$p",
+	"HTTP/1.1 200 OK\r\n$fContent-Length: $n 1\r\n\r\n$p",
+	"HTTP/1.1 200 OK\r\n$fContent-Length:\r\n\r\n$p",
+	"HTTP/1.1 200 OK\r\n$fContent-Length: $n\r\nContent-Length: 1\r\n"
+	"\r\n$p",
+	"HTTP/1.1 200 OK\r\n$fContent-Length: "
+	"99999999999999999999999\r\n\r\n$p",
+	/* Codings of the body. */
+	"HTTP/1.1 200 OK\r\n$fTransfer-Encoding: gzip\r\n\r\n$p",
+	"HTTP/1.1 200 OK\r\n$fTransfer-Encoding: identity\r\n\r\n$p",
+	"HTTP/1.1 200 OK\r\n$fTransfer-Encoding:\r\n\r\n$p",
+	"HTTP/1.1 200 OK\r\n$fTransfer-Encoding: gzip\r\n"
+	"Content-Length: $n\r\n\r\n$p",
+	"HTTP/1.1 200 OK\r\n$fTransfer-Encoding: gzip, chunked\r\n\r\n"
+	"$h\r\n$p\r\n" LAST_CHUNK,
+	"HTTP/1.1 200 OK\r\n$fTransfer-Encoding: chunked, gzip\r\n\r\n"
+	"$h\r\n$p\r\n" LAST_CHUNK,
+	"HTTP/1.1 200 OK\r\n$fTransfer-Encoding: chunked, chunked\r\n\r\n"
+	"$h\r\n$p\r\n" LAST_CHUNK,
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n" CHUNKED
+	"$h\r\n$p\r\n" LAST_CHUNK,
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" CHUNKED
+	"$h\r\n$p\r\n" LAST_CHUNK,
+	"HTTP/1.1 200 OK\r\nContent-Length: $n\r\n" CHUNKED
+	"$h\r\n$p\r\n" LAST_CHUNK,
+	"HTTP/1.0 200 OK\r\n" CHUNKED "$h\r\n$p\r\n" LAST_CHUNK,
 };
 
 const struct answers answers_sound = {sound, G_N_ELEMENTS(sound)};
