http: An answer whose status has no body is refused if it names one

A 204 with a Content-Length above 0, or in chunks, reached callers with the body that followed it, and an interim answer with one was skipped together with as many bytes as it named. By RFC 9112 both end with their heads, and no server may send these fields with them. What follows may be a body or the next answer, so nothing that comes on the connection can be trusted. Such answers are now none; a Content-Length of 0 is fine.

--- a/src/libhttp/message.c
+++ b/src/libhttp/message.c
@@ -160,6 +160,21 @@
 	return NULL;
 }
 
+/* Return: NULL, or why the fields of an answer are not those of its status. An
+ * answer to HEAD and a 304 may name the body that they do not have. */
+static const char *check_body_allowed(const struct http1_reader *reader)
+{
+	const http_parser *parser = &reader->parser;
+	bool names_body = (parser->flags & F_CHUNKED) ||
+			  (parser->content_length != ULLONG_MAX &&
+			   parser->content_length > 0);
+
+	if (names_body &&
+	    (parser->status_code < 200 || parser->status_code == 204))
+		return "body-not-allowed";
+	return NULL;
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	struct http1_reader *reader = reader_of(parser);
@@ -179,6 +194,8 @@
 	} else {
 		message->status = parser->status_code;
 		reader->fault = check_coding(reader);
+		if (!reader->fault)
+			reader->fault = check_body_allowed(reader);
 		if (reader->fault) {
 			reader->error = HTTP1_INVALID;
 			return -1;
--- a/test/unit/answers.c
+++ b/test/unit/answers.c
@@ -150,6 +150,13 @@
 	"HTTP/1.1 200 OK\r\nContent-Length: $n\r\n" CHUNKED
 	"$h\r\n$p\r\n" LAST_CHUNK,
 	"HTTP/1.0 200 OK\r\n" CHUNKED "$h\r\n$p\r\n" LAST_CHUNK,
+	/* Bodies of answers that have none. */
+	"HTTP/1.1 204 No Content\r\n" WITH_LENGTH,
+	"HTTP/1.1 204 No Content\r\n" CHUNKED "$h\r\n$p\r\n" LAST_CHUNK,
+	"HTTP/1.1 103 Odd\r\nContent-Length: 4\r\n\r\nbody"
+	"HTTP/1.1 200 OK\r\n" WITH_LENGTH,
+	"HTTP/1.1 103 Odd\r\nTransfer-Encoding: chunked\r\n\r\n" LAST_CHUNK
+	"HTTP/1.1 200 OK\r\n" WITH_LENGTH,
 };
 
 const struct answers answers_sound = {sound, G_N_ELEMENTS(sound)};
