http: A 304 ends with its head, also if it names a length

A 304 may name the length of the body that it does not have. The parser waits for that body, so that the caller got 504 at the deadline or the next answer's bytes as the body; one that names more than the largest body was refused, as was an answer to HEAD. The end of the head now ends each answer to HEAD, 204 and 304, and the limit of a body holds where there is one.

Failed before: unit answer, an_answer_without_a_body_ends_with_its_head, at "304 Not Modified" with "Content-Length: 16", which was incomplete.

--- a/src/libhttp/message.c
+++ b/src/libhttp/message.c
@@ -113,14 +113,23 @@
 	return add_head_bytes(reader, n);
 }
 
+/* Returns whether the message ends with its head, whatever its fields say. */
+static bool has_no_body(const struct http1_reader *reader)
+{
+	guint status = reader->parser.status_code;
+
+	return reader->no_body ||
+	       (!reader->requests &&
+		(status < 200 || status == 204 || status == 304));
+}
+
 /* Returns whether the message itself marks the end of its body, so that it does
  * not end with the connection. */
 static bool is_self_delimited(const struct http1_reader *reader)
 {
 	const http_parser *parser = &reader->parser;
 
-	return reader->requests || reader->no_body ||
-	       parser->status_code == 204 || parser->status_code == 304 ||
+	return reader->requests || has_no_body(reader) ||
 	       (parser->flags & F_CHUNKED) ||
 	       parser->content_length != ULLONG_MAX;
 }
@@ -203,12 +212,14 @@
 	}
 	message->keep_alive = http_should_keep_alive(parser);
 	message->self_delimited = is_self_delimited(reader);
+	if (has_no_body(reader))
+		return 1;
 	if (parser->content_length != ULLONG_MAX &&
 	    parser->content_length > reader->limits->body_bytes) {
 		reader->error = HTTP1_BODY_TOO_LARGE;
 		return -1;
 	}
-	return reader->no_body ? 1 : 0;
+	return 0;
 }
 
 bool http1_memory_has_room(const struct http1_memory *memory, gsize size)
--- a/test/unit/test_answer.c
+++ b/test/unit/test_answer.c
@@ -70,5 +70,47 @@
 }
 END_TEST
 
-UNIT_MAIN("answer", sound_answers_that_look_odd_are_read,
+/* Guards against callers that wait for a body that is only named. */
+START_TEST(an_answer_without_a_body_ends_with_its_head)
+{
+	static const struct {
+		const char *head;
+		bool no_body; /* the request was HEAD */
+	} cases[] = {
+		{"HTTP/1.1 204 No Content\r\n\r\n", false},
+		{"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", false},
+		{"HTTP/1.1 304 Not Modified\r\n\r\n", false},
+		{"HTTP/1.1 304 Not Modified\r\nContent-Length: 16\r\n\r\n",
+		 false},
+		{"HTTP/1.1 304 Not Modified\r\nContent-Length: 999\r\n\r\n",
+		 false},
+		{"HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n"
+		 "\r\n",
+		 false},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n", true},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		{"HTTP/1.1 103 Odd\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", true},
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct http1_reader *reader =
+			http1_reader_create(false, &limits);
+		gsize length = strlen(cases[i].head);
+		g_autofree char *text = g_strconcat(cases[i].head, "x", NULL);
+		gsize used;
+
+		http1_reader_reset(reader, cases[i].no_body);
+		ck_assert_msg(http1_reader_feed(reader, text, length + 1,
+						&used) == HTTP1_COMPLETE,
+			      "%s", text);
+		ck_assert_uint_eq(used, length);
+		ck_assert_uint_eq(http1_reader_message(reader)->body->len, 0);
+		ck_assert(http1_reader_message(reader)->self_delimited);
+		http1_reader_destroy(reader);
+	}
+}
+END_TEST
+
+UNIT_MAIN("answer", an_answer_without_a_body_ends_with_its_head,
+	  sound_answers_that_look_odd_are_read,
 	  bytes_that_are_no_answer_are_refused)
