http: The lines of a body in chunks are checked

Callers got bodies from broken chunks as whole: data followed by any two bytes in place of CRLF, so that a chunk longer or shorter than announced shifts what counts as data; sizes followed by other words or by any byte after a CR; control bytes in extensions; and last lines that are none.

The parser skips what follows a size and, built without its strict mode, does not compare the bytes at the end of a chunk. It passes on the data only, so that its callbacks cannot find this out.

The lines between the data are now checked like those of the head: a size of hexadecimal digits, extensions by their grammar, an empty line after the data. The sizes are counted beside the parser, which still reads the body.

--- a/src/libhttp/grammar.c
+++ b/src/libhttp/grammar.c
@@ -7,12 +7,17 @@
 enum part {
 	STATUS_LINE,
 	FIELD_LINE,
-	BODY,
+	CHUNK_LINE, /* size and extensions */
+	CHUNK_DATA,
+	CHUNK_END, /* the empty line after the data */
+	TRAILER_LINE,
+	UNCHECKED, /* a body without chunks, or the end of one with chunks */
 };
 
 struct http1_grammar {
 	enum part part;
 	GString *line; /* begin of a line that is not complete */
+	guint64 chunk_left; /* bytes of the chunk's data still to come */
 };
 
 struct http1_grammar *http1_grammar_create(void)
@@ -37,6 +42,11 @@
 	g_string_truncate(grammar->line, 0);
 }
 
+void http1_grammar_begin_chunks(struct http1_grammar *grammar)
+{
+	grammar->part = CHUNK_LINE;
+}
+
 gsize http1_grammar_pending(const struct http1_grammar *grammar)
 {
 	return grammar->line->len;
@@ -107,21 +117,115 @@
 	return is_text(line + name, n - name) ? NULL : "field-value";
 }
 
+/* The bytes of a line that are not read yet. */
+struct rest {
+	const char *at;
+	const char *end;
+};
+
+static bool take(struct rest *rest, char c)
+{
+	if (rest->at == rest->end || *rest->at != c)
+		return false;
+	rest->at++;
+	return true;
+}
+
+static void skip_blanks(struct rest *rest)
+{
+	while (take(rest, ' ') || take(rest, '\t'))
+		continue;
+}
+
+static bool take_token(struct rest *rest)
+{
+	gsize n = token_length(rest->at, (gsize)(rest->end - rest->at));
+
+	rest->at += n;
+	return n > 0;
+}
+
+static bool take_quoted(struct rest *rest)
+{
+	if (!take(rest, '"'))
+		return false;
+	while (!take(rest, '"')) {
+		take(rest, '\\');
+		if (rest->at == rest->end || !is_text(rest->at, 1))
+			return false;
+		rest->at++;
+	}
+	return true;
+}
+
+/* Takes a name, and a value if it has one. */
+static bool take_extension(struct rest *rest)
+{
+	struct rest name_end;
+
+	skip_blanks(rest);
+	if (!take(rest, ';'))
+		return false;
+	skip_blanks(rest);
+	if (!take_token(rest))
+		return false;
+	name_end = *rest;
+	skip_blanks(rest);
+	if (!take(rest, '=')) {
+		*rest = name_end;
+		return true;
+	}
+	skip_blanks(rest);
+	return take_token(rest) || take_quoted(rest);
+}
+
+static const char *check_chunk_line(const char *line, gsize n, guint64 *size)
+{
+	struct rest rest = {line, line + n};
+
+	*size = 0;
+	while (rest.at < rest.end && g_ascii_isxdigit(*rest.at)) {
+		if (*size > G_MAXUINT64 >> 4)
+			return "chunk-size";
+		*size = *size << 4 | (guint64)g_ascii_xdigit_value(*rest.at++);
+	}
+	if (rest.at == line)
+		return "chunk-size";
+	while (rest.at < rest.end) {
+		if (!take_extension(&rest))
+			return "chunk-extension";
+	}
+	return NULL;
+}
+
 static const char *check_line(struct http1_grammar *grammar, const char *line,
 			      gsize n)
 {
+	const char *fault;
+
 	if (!n || line[--n] != '\r')
 		return "line-end";
 	switch (grammar->part) {
 	case STATUS_LINE:
 		grammar->part = FIELD_LINE;
 		return check_status_line(line, n);
+	case TRAILER_LINE:
+		grammar->part = n ? TRAILER_LINE : UNCHECKED;
+		break;
 	case FIELD_LINE:
 		if (n)
 			return check_field_line(line, n);
-		grammar->part = BODY;
+		grammar->part = UNCHECKED;
 		break;
-	case BODY:
+	case CHUNK_LINE:
+		fault = check_chunk_line(line, n, &grammar->chunk_left);
+		grammar->part = grammar->chunk_left ? CHUNK_DATA : TRAILER_LINE;
+		return fault;
+	case CHUNK_END:
+		grammar->part = CHUNK_LINE;
+		return n ? "chunk-end" : NULL;
+	case CHUNK_DATA:
+	case UNCHECKED:
 		break;
 	}
 	return NULL;
@@ -155,15 +259,30 @@
 	return n + 1;
 }
 
+static gsize take_data(struct http1_grammar *grammar, gsize length)
+{
+	gsize n = MIN(grammar->chunk_left, length);
+
+	grammar->chunk_left -= n;
+	if (!grammar->chunk_left)
+		grammar->part = CHUNK_END;
+	return n;
+}
+
 gsize http1_grammar_check(struct http1_grammar *grammar, const char *bytes,
 			  gsize length, const char **fault)
 {
 	gsize at = 0;
 
 	*fault = NULL;
-	if (grammar->part == BODY)
+	if (grammar->part == UNCHECKED)
 		return length;
-	while (at < length && grammar->part != BODY && !*fault)
-		at += take_line(grammar, bytes + at, length - at, fault);
+	while (at < length && grammar->part != UNCHECKED && !*fault) {
+		if (grammar->part == CHUNK_DATA)
+			at += take_data(grammar, length - at);
+		else
+			at += take_line(grammar, bytes + at, length - at,
+					fault);
+	}
 	return at;
 }
--- a/src/libhttp/grammar.h
+++ b/src/libhttp/grammar.h
@@ -27,6 +27,14 @@
  */
 void http1_grammar_reset(struct http1_grammar *grammar);
 
+/**
+ * http1_grammar_begin_chunks - expect a body in chunks
+ * @grammar: a checker that has met the end of a head
+ *
+ * Other bodies are not checked.
+ */
+void http1_grammar_begin_chunks(struct http1_grammar *grammar);
+
 /**
  * http1_grammar_check - check received bytes
  * @grammar: a checker
@@ -35,7 +43,7 @@
  * @fault: set to a word for why they are no answer, or NULL; a static string
  *
  * A line is checked once it is complete. Stops after the blank line that ends a
- * head, so that the caller can reset the checker after an interim answer.
+ * head, so that the caller can say what follows.
  *
  * Return: the number of bytes that were checked.
  */
--- a/src/libhttp/message.c
+++ b/src/libhttp/message.c
@@ -219,6 +219,8 @@
 		reader->error = HTTP1_BODY_TOO_LARGE;
 		return -1;
 	}
+	if (!reader->requests && (parser->flags & F_CHUNKED))
+		http1_grammar_begin_chunks(reader->grammar);
 	return 0;
 }
 
--- a/test/unit/answers.c
+++ b/test/unit/answers.c
@@ -157,6 +157,33 @@
 	"HTTP/1.1 200 OK\r\n" WITH_LENGTH,
 	"HTTP/1.1 103 Odd\r\nTransfer-Encoding: chunked\r\n\r\n" LAST_CHUNK
 	"HTTP/1.1 200 OK\r\n" WITH_LENGTH,
+	/* Sizes of chunks. */
+	CHUNKS("$h\n$p\r\n" LAST_CHUNK),
+	CHUNKS("$h\rX$p\r\n" LAST_CHUNK),
+	CHUNKS("$h \r\n$p\r\n" LAST_CHUNK),
+	CHUNKS(" $h\r\n$p\r\n" LAST_CHUNK),
+	CHUNKS("$h x\r\n$p\r\n" LAST_CHUNK),
+	CHUNKS("$h,\r\n$p\r\n" LAST_CHUNK),
+	CHUNKS("+$h\r\n$p\r\n" LAST_CHUNK),
+	CHUNKS("0x$h\r\n$p\r\n" LAST_CHUNK),
+	CHUNKS("\r\n$p\r\n" LAST_CHUNK),
+	CHUNKS(";a\r\n$p\r\n" LAST_CHUNK),
+	CHUNKS("10000000000000000$h\r\n$p\r\n" LAST_CHUNK),
+	CHUNKS("$h;\r\n$p\r\n" LAST_CHUNK),
+	CHUNKS("$h;a b\r\n$p\r\n" LAST_CHUNK),
+	CHUNKS("$h;a=\r\n$p\r\n" LAST_CHUNK),
+	CHUNKS("$h;a=\"b\r\n$p\r\n" LAST_CHUNK),
+	CHUNKS("$h;a=\"\\\001\"\r\n$p\r\n" LAST_CHUNK),
+	CHUNKS("$h;a\001\r\n$p\r\n" LAST_CHUNK),
+	CHUNKS("$h;a\n$p\r\n" LAST_CHUNK),
+	/* Ends of chunks. */
+	CHUNKS("$h\r\n$pXX" LAST_CHUNK),
+	CHUNKS("$h\r\n$p\n\n" LAST_CHUNK),
+	CHUNKS("$h\r\n$p\rX" LAST_CHUNK),
+	CHUNKS("$h\r\n$p" LAST_CHUNK),
+	CHUNKS("$h\r\n$p\r\n0\n\r\n"),
+	CHUNKS("$h\r\n$p\r\n0\r\n\n"),
+	CHUNKS("$h\r\n$p\r\n0\r\n\rX"),
 };
 
 const struct answers answers_sound = {sound, G_N_ELEMENTS(sound)};
