http: Trailer fields are checked like header fields

An answer in chunks whose trailer has a name with a blank, a value with a control byte in front, a folded line or lines that end with LF alone was passed on as whole. The check of names ended with the head, as trailers are dropped; but bytes that are no trailer show that the body before them may not be the replica's either. Their lines are now checked by the same function as those of the head.

--- a/src/libhttp/grammar.c
+++ b/src/libhttp/grammar.c
@@ -209,10 +209,8 @@
 	case STATUS_LINE:
 		grammar->part = FIELD_LINE;
 		return check_status_line(line, n);
-	case TRAILER_LINE:
-		grammar->part = n ? TRAILER_LINE : UNCHECKED;
-		break;
 	case FIELD_LINE:
+	case TRAILER_LINE:
 		if (n)
 			return check_field_line(line, n);
 		grammar->part = UNCHECKED;
--- a/test/unit/answers.c
+++ b/test/unit/answers.c
@@ -184,6 +184,15 @@
 	CHUNKS("$h\r\n$p\r\n0\n\r\n"),
 	CHUNKS("$h\r\n$p\r\n0\r\n\n"),
 	CHUNKS("$h\r\n$p\r\n0\r\n\rX"),
+	/* Trailer fields. */
+	CHUNKS("$h\r\n$p\r\n0\r\nA b: c\r\n\r\n"),
+	CHUNKS("$h\r\n$p\r\n0\r\nA : c\r\n\r\n"),
+	CHUNKS("$h\r\n$p\r\n0\r\nA\001: c\r\n\r\n"),
+	CHUNKS("$h\r\n$p\r\n0\r\nA: \001\r\n\r\n"),
+	CHUNKS("$h\r\n$p\r\n0\r\nA: b\001\r\n\r\n"),
+	CHUNKS("$h\r\n$p\r\n0\r\nA: b\r\n c\r\n\r\n"),
+	CHUNKS("$h\r\n$p\r\n0\r\nA: b\n\r\n"),
+	CHUNKS("$h\r\n$p\r\n0\r\nA\r\n\r\n"),
 };
 
 const struct answers answers_sound = {sound, G_N_ELEMENTS(sound)};
