test: Broken answers at every place that reads answers

A caller gets 502 at most, no proof counts, no route, replica, era or count of daemons changes, and the next sound answer does. A 304 that names a length reaches the caller at once.

Checks of the health of replicas, of their crashes and of the seeds' distance only connect and read no answer.

--- a/test/unit/test_follow.c
+++ b/test/unit/test_follow.c
@@ -1,5 +1,6 @@
 /* Tests how a daemon gets its routing view from a seed or the platform, how it
  * counts daemons, and how seeds share outliers. */
+#include "answers.h"
 #include "daemon.h"
 #include "unit.h"
 
@@ -818,6 +819,43 @@
 }
 END_TEST
 
+/* Guards against counts and routes that are read from a broken answer of a
+ * seed. */
+START_TEST(a_follower_leaves_a_seed_with_a_broken_answer)
+{
+	static const char body[] = "{\"daemons\": 70, \"daemons_in_zone\": 30, "
+				   "\"age_ms\": 0}";
+
+	for (gsize i = 0; i < answers_broken.n; i++) {
+		const char *template = answers_broken.templates[i];
+		g_autofree char *reply = answers_print(template, "", body);
+		struct net net = net_create();
+		/* The address of the first seed. */
+		struct net_server *server =
+			net_server_create(&net, 72, reply, true);
+		struct daemon seed;
+		struct daemon follower;
+
+		daemon_start(&net, &seed, 1, "b");
+		daemon_confirm_view(&net, &seed, 5);
+		daemon_start(&net, &follower, 2, "a");
+		for (int k = 0; k < 20; k++) {
+			net_advance(&net, 20);
+			daemon_confirm_view(&net, &seed, 5);
+		}
+		ck_assert_uint_ge(server->requests, 1);
+		ck_assert_msg(follower.revision == 5, "%s", template);
+		/* At most four daemons in the zone, not 30. */
+		ck_assert_msg(connection_share(&follower, "a") >= 165, "%s",
+			      template);
+		daemon_stop(&seed);
+		daemon_stop(&follower);
+		net_server_destroy(server);
+		net_destroy(&net);
+	}
+}
+END_TEST
+
 UNIT_MAIN("follow", a_daemon_follows_a_seed_and_does_not_read_the_platform,
 	  a_follower_switches_from_a_late_seed_to_a_current_one,
 	  a_follower_leaves_a_seed_of_an_earlier_history,
@@ -834,4 +872,5 @@
 	  damaged_messages_between_daemons_end_no_process,
 	  a_seed_accepts_a_call_with_2000_callers,
 	  a_seed_that_has_started_counts_the_daemons_that_others_know,
-	  a_follower_switches_from_a_seed_with_a_malformed_view)
+	  a_follower_switches_from_a_seed_with_a_malformed_view,
+	  a_follower_leaves_a_seed_with_a_broken_answer)
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -959,6 +959,64 @@
 }
 END_TEST
 
+/* Guards against a hedge's broken answer that ends a request whose first
+ * attempt still runs. */
+START_TEST(after_a_hedges_broken_answer_the_first_attempt_counts)
+{
+	for (gsize i = 0; i < answers_broken.n; i++) {
+		g_autofree char *answer =
+			answers_print(answers_broken.templates[i],
+				      "Id: r1\r\nSigned: s1\r\n", RECORD_16);
+		struct fixture fixture;
+		struct net_client *client;
+
+		fixture_create(&fixture);
+		fixture_publish(&fixture);
+		start_replica(&fixture, 0, signed_answer(0, 200, "first"),
+			      false);
+		fixture.servers[0]->hold = true;
+		start_replica(&fixture, 1, g_strdup(answer), true);
+		client = send_request(&fixture, "GET /one/");
+		net_advance(&fixture.net, 100);
+		ck_assert_uint_eq(fixture.servers[1]->requests, 1);
+		net_read(client);
+		ck_assert_uint_eq(status_of(client), 0);
+		net_server_reply_held(fixture.servers[0]);
+		ck_assert_msg(wait_for_status(&fixture, client) == 200,
+			      "after %s: %s", answer, client->received->str);
+		ck_assert_ptr_nonnull(strstr(client->received->str, "first"));
+		net_close(client);
+		fixture_destroy(&fixture);
+	}
+}
+END_TEST
+
+/* Guards against a caller that waits for a body that is only named. */
+START_TEST(an_answer_that_only_names_a_body_reaches_the_caller)
+{
+	static const char *const lines[] = {"GET /one/", "GET /once/"};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(lines); i++) {
+		struct fixture fixture;
+		struct net_client *client;
+
+		fixture_create(&fixture);
+		fixture_publish(&fixture);
+		start_replica(&fixture, 0,
+			      g_strdup("HTTP/1.1 304 Not Modified\r\nId: r1\r\n"
+				       "Content-Length: 16\r\n\r\n"),
+			      false);
+		client = send_request(&fixture, lines[i]);
+		net_advance(&fixture.net, 1);
+		net_read(client);
+		ck_assert_msg(status_of(client) == 304, "%s: %s", lines[i],
+			      client->received->str);
+		net_close(client);
+		fixture_destroy(&fixture);
+	}
+}
+END_TEST
+
 /* Guards against answers that are refused for their looks. */
 START_TEST(a_sound_answer_that_looks_odd_reaches_the_caller)
 {
@@ -1643,6 +1701,8 @@
 	  a_stopping_daemon_serves_until_the_balancer_reacts,
 	  an_answer_that_breaks_off_is_never_passed_on,
 	  a_broken_answer_reaches_no_caller,
+	  after_a_hedges_broken_answer_the_first_attempt_counts,
+	  an_answer_that_only_names_a_body_reaches_the_caller,
 	  after_a_broken_answer_another_replica_is_asked,
 	  a_sound_answer_that_looks_odd_reaches_the_caller,
 	  a_request_that_a_stop_would_cut_gets_an_answer,
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -1,4 +1,5 @@
 /* Decoding the platform's documents, and reading and watching its store. */
+#include "answers.h"
 #include "net.h"
 #include "unit.h"
 
@@ -592,6 +593,43 @@
 }
 END_TEST
 
+#define PAGE(items) "{\"items\":[" items "],\"storeRevision\":10}"
+
+/* Guards against routes, replicas or a return of the store that are read from a
+ * broken answer. */
+START_TEST(a_broken_answer_of_the_store_changes_nothing)
+{
+	for (gsize i = 0; i < answers_broken.n; i++) {
+		const char *template = answers_broken.templates[i];
+		g_autofree char *broken = answers_print(
+			template, "Store-Era: 7\r\n", PAGE(ITEM("a", 3)));
+		g_autofree char *sound =
+			answers_print(answers_sound.templates[0],
+				      "Store-Era: 7\r\n", PAGE(ITEM("b", 3)));
+		struct store_fixture fixture;
+		struct net_server *server;
+
+		fixture_open(&fixture);
+		g_clear_pointer(&fixture.server, http1_server_destroy);
+		server = net_server_create(&fixture.net, 40, broken, true);
+		platform_store_set_direct_reading(fixture.store, true);
+		net_run_until_idle(&fixture.net);
+		ck_assert_uint_eq(server->requests, 1);
+		ck_assert_msg(!fixture.changes->len, "%s: %s", template,
+			      fixture.changes->str);
+		ck_assert_uint_eq(fixture.answers, 0);
+		ck_assert_uint_eq(known_revision(&fixture), 0);
+		ck_assert_uint_eq(fixture.failures, 1);
+		server->reply = sound;
+		net_advance(&fixture.net, 1500);
+		ck_assert_msg(!strcmp(fixture.changes->str, "+b "), "%s: %s",
+			      template, fixture.changes->str);
+		net_server_destroy(server);
+		fixture_close(&fixture);
+	}
+}
+END_TEST
+
 /* Guards against a change that is not seen in time because the connection of
  * the watch is dead: the watch gets no answer and is aborted. */
 START_TEST(an_unanswered_watch_is_aborted_within_3_s)
@@ -971,7 +1009,9 @@
 	  a_range_is_read_in_pages_and_watched_from_the_first,
 	  the_watch_starts_at_the_oldest_page,
 	  after_a_410_a_fresh_range_removes_absent_keys,
-	  a_failed_call_is_retried, an_unanswered_watch_is_aborted_within_3_s,
+	  a_failed_call_is_retried,
+	  a_broken_answer_of_the_store_changes_nothing,
+	  an_unanswered_watch_is_aborted_within_3_s,
 	  only_newer_pages_of_a_peer_are_applied,
 	  an_encoded_table_is_exported_in_place_of_the_value,
 	  tombstones_are_dropped_over_the_limit,
--- a/test/unit/test_relay.c
+++ b/test/unit/test_relay.c
@@ -1,4 +1,5 @@
 /* Daemons that are cut off from all replicas, and not from their peers. */
+#include "answers.h"
 #include "cluster.h"
 #include "unit.h"
 
@@ -448,6 +449,58 @@
 }
 END_TEST
 
+static void check_got_502(struct net_client *caller, gsize number)
+{
+	net_read(caller);
+	ck_assert_msg(g_str_has_prefix(caller->received->str, "HTTP/1.1 502"),
+		      "case %zu: %s", number, caller->received->str);
+}
+
+static guint count_requests(struct net_server **peers, guint n)
+{
+	guint requests = 0;
+
+	for (guint i = 0; i < n; i++)
+		requests += peers[i]->requests;
+	return requests;
+}
+
+/* Guards against a peer's broken answer that reaches a caller, or that counts
+ * as proof that an order did not run. */
+START_TEST(a_peers_broken_answer_reaches_no_caller)
+{
+	static const char *const fields[] = {
+		"Id: r7\r\nSigned: s\r\nCuminsail-Relay: 0 3\r\n",
+		"Id: r7\r\nNot-Run: 1\r\nCuminsail-Relay: -39 3\r\n",
+	};
+	struct net_server *peers[5];
+	struct cluster cluster;
+
+	create_with_one_cut_off(&cluster);
+	replace_peers(&cluster, peers, 5, NULL);
+	for (gsize i = 0; i < 2 * answers_broken.n; i++) {
+		const char *template = answers_broken.templates[i / 2];
+		g_autofree char *answer = answers_print(template, fields[i % 2],
+							"0123456789abcdef");
+		struct net_client *caller = net_connect(
+			&cluster.net, &cluster.daemons[5].settings.caller);
+
+		for (guint k = 0; k < 5; k++) {
+			peers[k]->reply = answer;
+			peers[k]->close_after = true;
+		}
+		net_send(caller, POST);
+		net_run_until_idle(&cluster.net);
+		check_got_502(caller, i);
+		ck_assert_uint_eq(count_requests(peers, 5), i + 1);
+		net_close(caller);
+		net_advance(&cluster.net, 10);
+	}
+	restore_peers(&cluster, peers, 5);
+	cluster_destroy(&cluster);
+}
+END_TEST
+
 /* Begins of a peer's answer, within its head and within its body. */
 static const char *const endless_starts[] = {
 	"HTTP/1.1 200 OK\r\nX: ",
@@ -471,13 +524,6 @@
 	return n_open;
 }
 
-static void check_got_502(struct net_client *caller, gsize number)
-{
-	net_read(caller);
-	ck_assert_msg(g_str_has_prefix(caller->received->str, "HTTP/1.1 502"),
-		      "case %zu: %s", number, caller->received->str);
-}
-
 /* Guards against memory that a peer's answer without end uses up. */
 START_TEST(a_peers_answer_without_end_is_cut_off)
 {
@@ -783,6 +829,7 @@
 	  a_daemon_cut_off_from_all_replicas_refuses_its_callers,
 	  a_daemon_returns_to_the_replicas_after_the_cut,
 	  a_peer_refuses_what_it_cannot_serve_now,
+	  a_peers_broken_answer_reaches_no_caller,
 	  a_peers_answer_without_end_is_cut_off,
 	  requests_are_served_beside_a_peers_answer_without_end,
 	  a_peers_answer_without_proof_promises_nothing,
--- a/test/unit/test_upstream.c
+++ b/test/unit/test_upstream.c
@@ -2,6 +2,7 @@
  * which a call can end, and the use of connections. In most tests a thread is
  * the upstream.
  */
+#include "answers.h"
 #include "net.h"
 #include "unit.h"
 
@@ -331,6 +332,68 @@
 }
 END_TEST
 
+/* Guards against a broken answer that is taken as a result, or as proof that an
+ * attempt did not run. */
+START_TEST(a_broken_answer_is_neither_a_result_nor_a_proof)
+{
+	static const char *const fields[] = {
+		"", "Cuminsail-Lacks-Snapshot: true\r\n" NOT_RUN_HEADER};
+	struct cs_clock *clock = cs_clock_create_manual(0);
+	struct http1_loop *loop = http1_loop_create(clock);
+
+	for (guint i = 0; i < 4 * answers_broken.n; i++) {
+		const char *template = answers_broken.templates[i / 4];
+		bool is_order = i % 2;
+		g_autofree char *reply =
+			answers_print(template, fields[i / 2 % 2],
+				      is_order ? ORDER_BODY : PART_BODY);
+		struct upstream_client *client =
+			upstream_client_create(loop, 256);
+		struct recorded_reply recorded;
+
+		start_server(CLOSE_AFTER_REPLY, reply);
+		recorded = send_attempt(loop, client, server.port, is_order, 1);
+		ck_assert_msg(recorded.result == POLICY_LOST,
+			      "%s, order %d: %s", template, is_order,
+			      policy_result_name(recorded.result));
+		ck_assert(!recorded.incarnation);
+		upstream_client_destroy(client);
+		stop_server();
+		ck_assert_int_eq(server.requests, 1);
+	}
+	http1_loop_destroy(loop);
+	cs_clock_destroy(clock);
+}
+END_TEST
+
+START_TEST(a_sound_answer_that_looks_odd_is_a_result)
+{
+	struct cs_clock *clock = cs_clock_create_manual(0);
+	struct http1_loop *loop = http1_loop_create(clock);
+
+	for (guint i = 0; i < answers_sound.n; i++) {
+		const char *template = answers_sound.templates[i];
+		g_autofree char *reply =
+			answers_print(template, "", ORDER_BODY);
+		struct upstream_client *client;
+		struct recorded_reply recorded;
+
+		/* A result has status 200. */
+		if (strstr(template, "HTTP/1.1 299"))
+			continue;
+		client = upstream_client_create(loop, 256);
+		start_server(CLOSE_AFTER_REPLY, reply);
+		recorded = send_attempt(loop, client, server.port, true, 1);
+		ck_assert_msg(recorded.result == POLICY_DONE, "%s: %s",
+			      template, policy_result_name(recorded.result));
+		upstream_client_destroy(client);
+		stop_server();
+	}
+	http1_loop_destroy(loop);
+	cs_clock_destroy(clock);
+}
+END_TEST
+
 /* Nothing listens on the port, so no byte was sent. */
 START_TEST(a_refused_connection_is_reported_as_unsent)
 {
@@ -601,6 +664,8 @@
 END_TEST
 
 UNIT_MAIN("upstream", each_end_of_a_call_gives_the_right_result,
+	  a_broken_answer_is_neither_a_result_nor_a_proof,
+	  a_sound_answer_that_looks_odd_is_a_result,
 	  a_refused_connection_is_reported_as_unsent,
 	  the_client_never_resends_a_request,
 	  state_and_incarnation_headers_are_reported,
