soak: Replicas that send broken answers

The soak's replicas sent truncated, doubled and foreign bytes, but nothing that the parser takes and the grammar does not have. One more fault sends one of 13 kinds of such answers after the run, some with a claim of "not run"; as records their bodies are the greatest of all. One more rule, "broken": none reaches a caller.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -26,6 +26,7 @@
             on it until REST_S later
   answered  a request that a replica has run gets an answer from a daemon that
             stops after SIGTERM
+  broken    bytes that are no answer by the grammar of HTTP/1.1 reach no caller
   version   the version of the configuration in force at a daemon never falls
             while its process runs, and is the last one written at the end
   recover   of the requests sent later than 4 s after the last fault and
@@ -174,6 +175,40 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def broken_answer(pick, headers, body):
+    """Return an answer with one deviation from the grammar of HTTP/1.1.
+
+    It names itself "Broken", and may claim that the request did not run.
+    """
+    status = pick.choice([200, 503])
+    names = dict(headers, Broken="1")
+    if status == 503:
+        names["Not-Executed"] = "1"
+    head, _ = answer_bytes(status, names, body).split(b"\r\n\r\n")
+    fields = head.split(b"\r\n", 2)[2]
+    coded = fields + b"\r\nTransfer-Encoding: chunked\r\n\r\n"
+    size = f"{len(body):x}".encode()
+    return pick.choice([
+        head.replace(b" %d " % status, b" 000 ", 1) + b"\r\n\r\n" + body,
+        head.replace(b" %d " % status, b" 0%d " % status, 1) +
+        b"\r\n\r\n" + body,
+        head.replace(b" %d " % status, b" 999 ", 1) + b"\r\n\r\n" + body,
+        head.replace(b"/1.1", b"/2.1", 1) + b"\r\n\r\n" + body,
+        head + b"\r\nA b: c\r\n\r\n" + body,
+        head + b"\r\nA: \x01\r\n\r\n" + body,
+        head + b"\r\nA: b\r\n c\r\n\r\n" + body,
+        head + b"\r\nA: b\n\r\n" + body,
+        head + b"\r\n\rX" + body,
+        head.replace(b" %d " % status, b" 204 ", 1) + b"\r\n\r\n" + body,
+        b"HTTP/1.1 200 OK\r\n" + coded + size + b"\r\n" + body +
+        b"XX0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n" + coded + size + b"\r\n" + body +
+        b"\r\n0\r\nA b: c\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n" + coded.replace(b"chunked", b"gzip, chunked") +
+        size + b"\r\n" + body + b"\r\n0\r\n\r\n",
+    ])
+
+
 def unframed_head(headers):
     """Return the head of an answer whose body ends with its connection."""
     return answer_bytes(200, headers, b"").replace(b"Content-Length: 0\r\n",
@@ -201,7 +236,8 @@
     answer twice, "surplus" sends further bytes after the answer, "unproven"
     answers with a failure after the run, without proof of anything, "unframed"
     sends the answer without a length and closes the connection, "cut" resets it
-    within such an answer, "endless" sends bytes until the daemon closes. Until
+    within such an answer, "broken" sends one that the grammar of HTTP/1.1 does
+    not have, "endless" sends bytes until the daemon closes. Until
     pause_until the replica completes no request. A limited replica names a rate
     limit in its answers and records when they were sent and requests arrived.
     """
@@ -306,6 +342,10 @@
             else:
                 writer.write(head + out)
             return False
+        if fault == "broken":
+            # As records, these are the greatest of all.
+            writer.write(broken_answer(testbed.random, names, b"\xff" * 32))
+            return True
         if fault == "endless":
             await self.send_without_end(writer, unframed_head(names))
             return False
@@ -626,6 +666,8 @@
                 self.breach("answered", f"{request_id} ran and got no answer")
             return False
         entry["status"] = int(message[0].split()[1])
+        if "broken" in message[1] or not 200 <= entry["status"] < 600:
+            self.breach("broken", f"{request_id}: {message}")
         entry["body"] = message[2][:100]
         if 200 <= entry["status"] < 300:
             self.check_success(entry, message, body)
@@ -717,7 +759,8 @@
             replica.fault = pick.choice(["refuse", "lose", "truncate", "break",
                                          "duplicate", "surplus", "rest",
                                          "unproven", "unproven", "unframed",
-                                         "cut", "cut", "endless"])
+                                         "cut", "cut", "endless", "broken",
+                                         "broken", "broken"])
             await asyncio.sleep(span)
             replica.fault = None
         elif kind == "pause":
