--- a/src/libhttp/grammar.c
+++ b/src/libhttp/grammar.c
@@ -67,13 +67,15 @@
  * visible characters and bytes above 127. */
 static bool is_text(const char *bytes, gsize n)
 {
+	bool other = false;
+
+	/* Without a branch, so that the compiler can use vectors. */
 	for (gsize i = 0; i < n; i++) {
 		guchar c = (guchar)bytes[i];
 
-		if ((c < ' ' && c != '\t') || c == 0x7f)
-			return false;
+		other |= (c < ' ' && c != '\t') || c == 0x7f;
 	}
-	return true;
+	return !other;
 }
 
 /* The blank before an empty reason phrase may be missing. Daemons ask for no
