--- a/test/unit/test_answer.c
+++ b/test/unit/test_answer.c
@@ -8,8 +8,9 @@
 static const struct http1_limits limits = {.header_bytes = 2000,
 					   .body_bytes = 100};
 
-#define FIELDS "Id: r1\r\nSigned: s\r\n"
-#define RECORD "0123456789abcdef"
+#define FIELDS	"Id: r1\r\nSigned: s\r\n"
+#define RECORD	"0123456789abcdef"
+#define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 /* Parses bytes in pieces of step bytes, and then the end of the connection.
  * Return: the last state. */
@@ -111,6 +112,85 @@
 }
 END_TEST
 
+START_TEST(the_reason_for_a_refusal_is_named)
+{
+	static const struct {
+		const char *bytes;
+		const char *reason;
+	} cases[] = {
+		{"HTTP/2.0 200 OK\r\n", "status-line"},
+		{"HTTP/1.1 000 OK\r\n", "status"},
+		{"HTTP/1.1 2000 OK\r\n", "status"},
+		{"HTTP/1.1 101 OK\r\n", "upgrade"},
+		{"HTTP/1.1 200 \001\r\n", "reason-phrase"},
+		{"HTTP/1.1 200 OK\n", "line-end"},
+		{"HTTP/1.1 200 OK\r\nA b: c\r\n", "field-name"},
+		{"HTTP/1.1 200 OK\r\nA: \001\r\n", "field-value"},
+		{"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n", "folded-field"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+		 "transfer-coding"},
+		{"HTTP/1.1 204 OK\r\nContent-Length: 1\r\n\r\n",
+		 "body-not-allowed"},
+		{"HTTP/1.1 103 OK\r\nContent-Length: 1\r\n\r\n",
+		 "body-not-allowed"},
+		{CHUNKED "x\r\n", "chunk-size"},
+		{CHUNKED "1;\r\n", "chunk-extension"},
+		{CHUNKED "1\r\nab\r\n", "chunk-end"},
+		{"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+		 "HPE_INVALID_CONTENT_LENGTH"},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n",
+		 "body-too-large"},
+		{"HTTP/1.1 200 OK\r\nA: b\r\n", NULL},
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct http1_reader *reader =
+			http1_reader_create(false, &limits);
+		gsize used;
+
+		http1_reader_feed(reader, cases[i].bytes,
+				  strlen(cases[i].bytes), &used);
+		ck_assert_pstr_eq(http1_reader_fault(reader), cases[i].reason);
+		http1_reader_reset(reader, false);
+		ck_assert_ptr_null(http1_reader_fault(reader));
+		http1_reader_destroy(reader);
+	}
+}
+END_TEST
+
+/* Guards against memory that a line without an end uses up. */
+START_TEST(a_line_without_an_end_is_cut_off)
+{
+	static const char *const starts[] = {
+		"",
+		"HTTP/1.1 200 ",
+		"HTTP/1.1 200 OK\r\nA: ",
+		CHUNKED "1;a=",
+		CHUNKED "0\r\nA: ",
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(starts); i++) {
+		struct http1_reader *reader =
+			http1_reader_create(false, &limits);
+		enum http1_reader_state state = HTTP1_INCOMPLETE;
+		gsize sent = 0;
+		gsize used;
+
+		if (*starts[i])
+			state = http1_reader_feed(reader, starts[i],
+						  strlen(starts[i]), &used);
+		while (state == HTTP1_INCOMPLETE &&
+		       sent <= limits.header_bytes) {
+			state = http1_reader_feed(reader, "HTTPHTTP", 8, &used);
+			sent += 8;
+		}
+		ck_assert_msg(state != HTTP1_INCOMPLETE, "%s", starts[i]);
+		ck_assert_ptr_nonnull(http1_reader_fault(reader));
+		http1_reader_destroy(reader);
+	}
+}
+END_TEST
+
 /* The NUL cannot be in the text of a template. */
 START_TEST(a_nul_in_the_lines_of_an_answer_is_refused)
 {
@@ -216,7 +296,9 @@
 }
 END_TEST
 
-UNIT_MAIN("answer", a_nul_in_the_lines_of_an_answer_is_refused,
+UNIT_MAIN("answer", the_reason_for_a_refusal_is_named,
+	  a_line_without_an_end_is_cut_off,
+	  a_nul_in_the_lines_of_an_answer_is_refused,
 	  each_edit_of_an_answer_is_judged_by_the_grammar,
 	  an_answer_without_a_body_ends_with_its_head,
 	  sound_answers_that_look_odd_are_read,
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -5,9 +5,12 @@
 
 #include "cuminsail/endpoint.h"
 #include "cuminsail/forward.h"
+#include "cuminsail/log.h"
 
+#include <arpa/inet.h>
 #include <malloc.h>
 #include <string.h>
+#include <unistd.h>
 
 #define REPLICAS_MAX 6
 
@@ -991,6 +994,45 @@
 }
 END_TEST
 
+/* Guards against a broken answer whose cause cannot be found from the request's
+ * id. */
+START_TEST(the_reason_why_bytes_are_no_answer_is_logged)
+{
+	g_autofree char *text = NULL;
+	struct fixture fixture;
+	struct net_client *client;
+	char log[16384] = "";
+	int ends[2];
+
+	ck_assert_int_eq(pipe(ends), 0);
+	fixture_create(&fixture);
+	fixture_publish(&fixture);
+	start_replica(&fixture, 0,
+		      g_strdup("HTTP/1.1 000 None\r\nId: r1\r\n"
+			       "Content-Length: 0\r\n\r\n"),
+		      false);
+	cs_log_set_level(LOG_INFO);
+	cs_log_start(ends[1], fixture.net.clock);
+	client = send_request(&fixture, "GET /once/");
+	cs_log_flush();
+	cs_log_set_level(LOG_EMERG);
+	cs_log_start(STDOUT_FILENO, NULL);
+	ck_assert_int_gt(read(ends[0], log, sizeof(log) - 1), 0);
+	text = g_strdup_printf(
+		"event=answer-invalid from=%s:%u reason=status\n",
+		inet_ntoa(net_address(PORT_REPLICA).sin_addr),
+		ntohs(net_address(PORT_REPLICA).sin_port));
+	ck_assert_msg(strstr(log, text) != NULL, "%s", log);
+	ck_assert_ptr_nonnull(
+		strstr(log, "event=attempt-lost id=r1 replica=u0"));
+	ck_assert_ptr_nonnull(strstr(log, "status=0 reason=status\n"));
+	net_close(client);
+	close(ends[0]);
+	close(ends[1]);
+	fixture_destroy(&fixture);
+}
+END_TEST
+
 /* Guards against a caller that waits for a body that is only named. */
 START_TEST(an_answer_that_only_names_a_body_reaches_the_caller)
 {
@@ -1703,6 +1745,7 @@
 	  a_broken_answer_reaches_no_caller,
 	  after_a_hedges_broken_answer_the_first_attempt_counts,
 	  an_answer_that_only_names_a_body_reaches_the_caller,
+	  the_reason_why_bytes_are_no_answer_is_logged,
 	  after_a_broken_answer_another_replica_is_asked,
 	  a_sound_answer_that_looks_odd_reaches_the_caller,
 	  a_request_that_a_stop_would_cut_gets_an_answer,
