http: A request's header value may not begin with a control byte

A caller's Request-Id that begins with a control byte was forwarded; a replica repeats it, and since its answer is checked this counts as a broken answer: one caller's requests would make replicas look as if they failed. The parser checks a value from its second byte on, in requests too. Such a request now gets 400, as one with a control byte further back always did.

Failed before: unit http1, parses_or_rejects_requests, at "A: \001".

--- a/src/libhttp/grammar.c
+++ b/src/libhttp/grammar.c
@@ -63,9 +63,7 @@
 	['`'] = true,	      ['|'] = true,	    ['~'] = true,
 };
 
-/* Return: whether all bytes may be in a reason phrase or a field value: blanks,
- * visible characters and bytes above 127. */
-static bool is_text(const char *bytes, gsize n)
+bool http1_is_text(const char *bytes, gsize n)
 {
 	bool other = false;
 
@@ -94,7 +92,8 @@
 		return "status";
 	if (!memcmp(line + STATUS, "101", 3))
 		return "upgrade";
-	return is_text(line + REASON, n - REASON) ? NULL : "reason-phrase";
+	return http1_is_text(line + REASON, n - REASON) ? NULL
+							: "reason-phrase";
 }
 
 /* Return: the number of bytes at the begin that may be in a token. */
@@ -116,7 +115,7 @@
 		return "folded-field";
 	if (!name || name == n || line[name] != ':')
 		return "field-name";
-	return is_text(line + name, n - name) ? NULL : "field-value";
+	return http1_is_text(line + name, n - name) ? NULL : "field-value";
 }
 
 /* The bytes of a line that are not read yet. */
@@ -153,7 +152,7 @@
 		return false;
 	while (!take(rest, '"')) {
 		take(rest, '\\');
-		if (rest->at == rest->end || !is_text(rest->at, 1))
+		if (rest->at == rest->end || !http1_is_text(rest->at, 1))
 			return false;
 		rest->at++;
 	}
--- a/src/libhttp/grammar.h
+++ b/src/libhttp/grammar.h
@@ -5,6 +5,15 @@
 #include <glib.h>
 #include <stdbool.h>
 
+/**
+ * http1_is_text - check the bytes of a field value or a reason phrase
+ * @bytes: the bytes
+ * @n: number of bytes
+ *
+ * Return: whether all are blanks, visible characters or bytes above 127.
+ */
+bool http1_is_text(const char *bytes, gsize n);
+
 /** Checks the bytes of consecutive answers before they are parsed. */
 struct http1_grammar;
 
--- a/src/libhttp/message.c
+++ b/src/libhttp/message.c
@@ -108,6 +108,11 @@
 		message->headers[message->n_headers - 1].value =
 			(guint)message->text->len;
 	}
+	/* The parser does not check the first byte of a value. */
+	if (reader->requests && !http1_is_text(at, n)) {
+		reader->error = HTTP1_INVALID;
+		return 1;
+	}
 	reader->in_value = true;
 	g_string_append_len(message->text, at, (gssize)n);
 	return add_head_bytes(reader, n);
