--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -889,6 +889,22 @@
 	}
 }
 
+/* Creates a fixture with such replicas and sends a request.
+ * Return: the caller's connection, which has its answer. */
+static struct net_client *ask_replicas(struct fixture *fixture,
+				       const char *answer, guint n_with_it,
+				       const char *line)
+{
+	struct net_client *client;
+
+	fixture_create(fixture);
+	fixture_publish(fixture);
+	start_replicas(fixture, answer, n_with_it);
+	client = send_request(fixture, line);
+	wait_for_status(fixture, client);
+	return client;
+}
+
 /* Guards against a broken answer that reaches a caller, or that counts as proof
  * that the request did not run. */
 START_TEST(a_broken_answer_reaches_no_caller)
@@ -912,13 +928,9 @@
 						: "Id: r1\r\nNot-Run: 1\r\n",
 				      RECORD_16);
 		struct fixture fixture;
-		struct net_client *client;
+		struct net_client *client =
+			ask_replicas(&fixture, answer, 2, cases[i % 4].line);
 
-		fixture_create(&fixture);
-		fixture_publish(&fixture);
-		start_replicas(&fixture, answer, 2);
-		client = send_request(&fixture, cases[i % 4].line);
-		wait_for_status(&fixture, client);
 		ck_assert_msg(status_of(client) == cases[i % 4].status,
 			      "%s after %s: %s", cases[i % 4].line, template,
 			      client->received->str);
@@ -945,13 +957,9 @@
 			answers_print(answers_broken.templates[i / 2],
 				      "Id: r1\r\nSigned: s0\r\n", RECORD_16);
 		struct fixture fixture;
-		struct net_client *client;
+		struct net_client *client =
+			ask_replicas(&fixture, answer, 1, lines[i % 2]);
 
-		fixture_create(&fixture);
-		fixture_publish(&fixture);
-		start_replicas(&fixture, answer, 1);
-		client = send_request(&fixture, lines[i % 2]);
-		wait_for_status(&fixture, client);
 		ck_assert_msg(status_of(client) == 200, "%s after %s: %s",
 			      lines[i % 2], answer, client->received->str);
 		ck_assert_ptr_null(strstr(client->received->str, "s0"));
@@ -1070,13 +1078,9 @@
 			answers_print(answers_sound.templates[i / 4],
 				      "Id: r1\r\nSigned: s0\r\n", RECORD_16);
 		struct fixture fixture;
-		struct net_client *client;
+		struct net_client *client =
+			ask_replicas(&fixture, answer, 1, lines[i % 4]);
 
-		fixture_create(&fixture);
-		fixture_publish(&fixture);
-		start_replicas(&fixture, answer, 1);
-		client = send_request(&fixture, lines[i % 4]);
-		wait_for_status(&fixture, client);
 		ck_assert_msg(status_of(client) / 100 == 2, "%s after %s: %s",
 			      lines[i % 4], answer, client->received->str);
 		ck_assert(g_str_has_suffix(client->received->str,
