forward: The timeout that a replica names may be any number

An answer with a Keep-Alive timeout of 9,223,372,036,855 s or more overflowed the time for which its connection is kept: undefined, and in fact the connection was closed after each answer. Found while checking what else is read from an answer's head. The number is now bounded before it is multiplied.

Failed before: unit forward, a_connection_with_any_timeout_is_kept_or_closed (2 connections in place of 1; with sanitizers a signed overflow).

--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -150,13 +150,14 @@
 		replica->distance == ROUTE_FAR ? IDLE_FAR_US : IDLE_MAX_US;
 	const char *keep = http1_message_header(answer, "Keep-Alive");
 	const char *timeout = keep ? strstr(keep, "timeout=") : NULL;
-	gint64 timeout_us;
+	gint64 timeout_s;
 
 	if (!timeout)
 		return now_us + max_us;
-	timeout_us =
-		strtol(timeout + strlen("timeout="), NULL, 10) * CS_US_PER_S;
-	return now_us + CLAMP(timeout_us - IDLE_MARGIN_US, 0, max_us);
+	timeout_s = strtol(timeout + strlen("timeout="), NULL, 10);
+	timeout_s = CLAMP(timeout_s, 0, IDLE_MAX_US / CS_US_PER_S + 1);
+	return now_us +
+	       CLAMP(timeout_s * CS_US_PER_S - IDLE_MARGIN_US, 0, max_us);
 }
 
 /* Keeps a connection for reuse after an answer, or closes it if it cannot be
--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -1002,6 +1002,46 @@
 }
 END_TEST
 
+/* Guards against an overflow of the time for which a connection is kept. */
+START_TEST(a_connection_with_any_timeout_is_kept_or_closed)
+{
+	static const struct {
+		const char *value;
+		guint connections; /* for two requests */
+	} cases[] = {
+		{"timeout=15", 1},
+		{"timeout=0", 2},
+		{"timeout=-9223372036854775808", 2},
+		{"timeout=9223372036854775807", 1},
+		{"timeout=99999999999999999999999", 1},
+		{"timeout=9223372036855", 1},
+		{"timeout=x", 2},
+		{"max=3", 1},
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *fields = g_strdup_printf(
+			"Id: r1\r\nSigned: s0\r\nKeep-Alive: %s\r\n",
+			cases[i].value);
+		struct fixture fixture;
+
+		fixture_create(&fixture);
+		fixture_publish(&fixture);
+		start_replica(&fixture, 0,
+			      answers_print(answers_sound.templates[0], fields,
+					    RECORD_16),
+			      false);
+		for (int k = 0; k < 2; k++)
+			net_close(send_request(&fixture, "GET /one/"));
+		ck_assert_msg(fixture.servers[0]->connections ==
+				      cases[i].connections,
+			      "%s: %u connections", cases[i].value,
+			      fixture.servers[0]->connections);
+		fixture_destroy(&fixture);
+	}
+}
+END_TEST
+
 /* Guards against a broken answer whose cause cannot be found from the request's
  * id. */
 START_TEST(the_reason_why_bytes_are_no_answer_is_logged)
@@ -1750,6 +1790,7 @@
 	  after_a_hedges_broken_answer_the_first_attempt_counts,
 	  an_answer_that_only_names_a_body_reaches_the_caller,
 	  the_reason_why_bytes_are_no_answer_is_logged,
+	  a_connection_with_any_timeout_is_kept_or_closed,
 	  after_a_broken_answer_another_replica_is_asked,
 	  a_sound_answer_that_looks_odd_reaches_the_caller,
 	  a_request_that_a_stop_would_cut_gets_an_answer,
