http: Names and values are checked where the parser reports them

What the parser leaves, a blank in a name and the first byte of a value, is now checked in its callbacks, for trailers and requests as well; the lines are only checked for their ends and for folds. Codings are looked at only without a length, as the parser refuses both together.

--- a/src/libhttp/grammar.c
+++ b/src/libhttp/grammar.c
@@ -65,15 +65,13 @@
 
 bool http1_is_text(const char *bytes, gsize n)
 {
-	bool other = false;
-
-	/* Without a branch, so that the compiler can use vectors. */
 	for (gsize i = 0; i < n; i++) {
 		guchar c = (guchar)bytes[i];
 
-		other |= (c < ' ' && c != '\t') || c == 0x7f;
+		if ((c < ' ' && c != '\t') || c == 0x7f)
+			return false;
 	}
-	return !other;
+	return true;
 }
 
 /* The blank before an empty reason phrase may be missing. Daemons ask for no
@@ -106,18 +104,6 @@
 	return i;
 }
 
-/* A line that begins with a blank would continue the value before it. */
-static const char *check_field_line(const char *line, gsize n)
-{
-	gsize name = token_length(line, n);
-
-	if (line[0] == ' ' || line[0] == '\t')
-		return "folded-field";
-	if (!name || name == n || line[name] != ':')
-		return "field-name";
-	return http1_is_text(line + name, n - name) ? NULL : "field-value";
-}
-
 /* The bytes of a line that are not read yet. */
 struct rest {
 	const char *at;
@@ -204,17 +190,21 @@
 {
 	const char *fault;
 
-	if (!n || line[--n] != '\r')
+	/* The parser may take a CR with any byte behind it for the end. */
+	if (!n || memchr(line, '\r', n) != line + n - 1)
 		return "line-end";
+	n--;
 	switch (grammar->part) {
 	case STATUS_LINE:
 		grammar->part = FIELD_LINE;
 		return check_status_line(line, n);
 	case FIELD_LINE:
 	case TRAILER_LINE:
-		if (n)
-			return check_field_line(line, n);
-		grammar->part = UNCHECKED;
+		if (!n)
+			grammar->part = UNCHECKED;
+		/* It would continue the value before it. */
+		else if (line[0] == ' ' || line[0] == '\t')
+			return "folded-field";
 		break;
 	case CHUNK_LINE:
 		fault = check_chunk_line(line, n, &grammar->chunk_left);
@@ -248,7 +238,7 @@
 	}
 	g_string_append_len(line, bytes, (gssize)n);
 	if (!end) {
-		/* The parser may take a CR alone for the end of a line. */
+		/* As in check_line(). */
 		if (n && memchr(line->str + known, '\r', line->len - 1 - known))
 			*fault = "line-end";
 		return n;
--- a/src/libhttp/grammar.h
+++ b/src/libhttp/grammar.h
@@ -51,7 +51,8 @@
  * @length: number of bytes
  * @fault: set to a word for why they are no answer, or NULL; a static string
  *
- * A line is checked once it is complete. Stops after the blank line that ends a
+ * Names and values of fields are left to the reader. A line is checked once it
+ * is complete. Stops after the blank line that ends a
  * head, so that the caller can say what follows.
  *
  * Return: the number of bytes that were checked.
--- a/src/libhttp/message.c
+++ b/src/libhttp/message.c
@@ -71,17 +71,30 @@
 	return add_head_bytes(reader, strlen(": \r\n"));
 }
 
+/* Refuses the message. Returns nonzero to stop the parser. */
+static int refuse(struct http1_reader *reader, const char *fault)
+{
+	reader->fault = fault;
+	reader->error = HTTP1_INVALID;
+	return -1;
+}
+
 static int on_header_field(http_parser *parser, const char *at, size_t n)
 {
 	struct http1_reader *reader = reader_of(parser);
+	bool begins = reader->in_value || !reader->message.n_headers;
 
+	reader->in_value = false;
+	/* The parser accepts spaces in a header name. Other implementations do
+	 * not, so that the two could disagree about the header fields of a
+	 * message (request smuggling). */
+	if (memchr(at, ' ', n))
+		return refuse(reader, "field-name");
 	/* Trailer fields of a chunked body are discarded. */
 	if (reader->head_complete)
 		return add_head_bytes(reader, n);
-	if ((reader->in_value || !reader->message.n_headers) &&
-	    begin_header(reader))
+	if (begins && begin_header(reader))
 		return 1;
-	reader->in_value = false;
 	g_string_append_len(reader->message.text, at, (gssize)n);
 	return add_head_bytes(reader, n);
 }
@@ -90,30 +103,19 @@
 {
 	struct http1_reader *reader = reader_of(parser);
 	struct http1_message *message = &reader->message;
+	bool begins = !reader->in_value;
 
+	reader->in_value = true;
+	/* The parser checks a value from its second byte on. */
+	if (begins && !http1_is_text(at, MIN(n, 1)))
+		return refuse(reader, "field-value");
 	if (reader->head_complete)
 		return add_head_bytes(reader, n);
-	if (!reader->in_value) {
-		/* The parser accepts spaces in a header name. Other
-		 * implementations do not, so that the two could disagree about
-		 * the header fields of a message (request smuggling). */
-		if (strchr(message->text->str +
-				   message->headers[message->n_headers - 1]
-					   .name,
-			   ' ')) {
-			reader->error = HTTP1_INVALID;
-			return 1;
-		}
+	if (begins) {
 		g_string_append_c(message->text, '\0');
 		message->headers[message->n_headers - 1].value =
 			(guint)message->text->len;
 	}
-	/* The parser does not check the first byte of a value. */
-	if (reader->requests && !http1_is_text(at, n)) {
-		reader->error = HTTP1_INVALID;
-		return 1;
-	}
-	reader->in_value = true;
 	g_string_append_len(message->text, at, (gssize)n);
 	return add_head_bytes(reader, n);
 }
@@ -150,12 +152,15 @@
 }
 
 /* Return: NULL, or why the body of an answer cannot be read: its transfer
- * coding must be "chunked" alone, which HTTP/1.0 does not have. */
+ * coding must be "chunked" alone, which HTTP/1.0 does not have. The parser
+ * refuses a coding beside a length. */
 static const char *check_coding(struct http1_reader *reader)
 {
 	const struct http1_message *message = &reader->message;
 	guint n = 0;
 
+	if (reader->parser.content_length != ULLONG_MAX)
+		return NULL;
 	for (guint i = 0; i < message->n_headers; i++) {
 		const char *text = message->text->str;
 
@@ -193,6 +198,7 @@
 {
 	struct http1_reader *reader = reader_of(parser);
 	struct http1_message *message = &reader->message;
+	const char *fault;
 
 	reader->head_complete = true;
 	if (message->n_headers)
@@ -201,19 +207,15 @@
 	parser->upgrade = 0;
 	if (reader->requests) {
 		message->method = http_method_str(parser->method);
-		if (parser->method == HTTP_CONNECT) {
-			reader->error = HTTP1_INVALID;
-			return -1;
-		}
+		if (parser->method == HTTP_CONNECT)
+			return refuse(reader, "method");
 	} else {
 		message->status = parser->status_code;
-		reader->fault = check_coding(reader);
-		if (!reader->fault)
-			reader->fault = check_body_allowed(reader);
-		if (reader->fault) {
-			reader->error = HTTP1_INVALID;
-			return -1;
-		}
+		fault = check_coding(reader);
+		if (!fault)
+			fault = check_body_allowed(reader);
+		if (fault)
+			return refuse(reader, fault);
 	}
 	message->keep_alive = http_should_keep_alive(parser);
 	message->self_delimited = is_self_delimited(reader);
--- a/test/unit/test_answer.c
+++ b/test/unit/test_answer.c
@@ -129,6 +129,14 @@
 		{"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n", "folded-field"},
 		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
 		 "transfer-coding"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\nContent-Length: "
+		 "2\r\n"
+		 "\r\n",
+		 "HPE_UNEXPECTED_CONTENT_LENGTH"},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: "
+		 "a\r\n"
+		 "\r\n",
+		 "HPE_UNEXPECTED_CONTENT_LENGTH"},
 		{"HTTP/1.1 204 OK\r\nContent-Length: 1\r\n\r\n",
 		 "body-not-allowed"},
 		{"HTTP/1.1 103 OK\r\nContent-Length: 1\r\n\r\n",
