--- a/test/unit/test_forward.c
+++ b/test/unit/test_forward.c
@@ -948,6 +948,32 @@
 }
 END_TEST
 
+/* Guards against further bytes of such a connection, and against a caller that
+ * waits for them. */
+START_TEST(a_broken_answer_ends_its_connection_at_once)
+{
+	for (gsize i = 0; i < answers_broken.n; i++) {
+		const char *template = answers_broken.templates[i];
+		struct fixture fixture;
+		struct net_client *client;
+
+		fixture_create(&fixture);
+		fixture_publish(&fixture);
+		start_replica(&fixture, 0,
+			      answers_print(template,
+					    "Id: r1\r\nSigned: s0\r\n",
+					    RECORD_16),
+			      false);
+		client = send_request(&fixture, "GET /once/");
+		ck_assert_msg(status_of(client) == 502, "%s: %s", template,
+			      client->received->str);
+		ck_assert_msg(!fixture.servers[0]->n_open, "%s", template);
+		net_close(client);
+		fixture_destroy(&fixture);
+	}
+}
+END_TEST
+
 START_TEST(after_a_broken_answer_another_replica_is_asked)
 {
 	static const char *const lines[] = {"GET /one/", "GET /all/"};
@@ -1787,6 +1813,7 @@
 	  a_stopping_daemon_serves_until_the_balancer_reacts,
 	  an_answer_that_breaks_off_is_never_passed_on,
 	  a_broken_answer_reaches_no_caller,
+	  a_broken_answer_ends_its_connection_at_once,
 	  after_a_hedges_broken_answer_the_first_attempt_counts,
 	  an_answer_that_only_names_a_body_reaches_the_caller,
 	  the_reason_why_bytes_are_no_answer_is_logged,
