--- a/src/libhttp/message.c
+++ b/src/libhttp/message.c
@@ -16,7 +16,7 @@
 	struct http1_message message;
 	gsize head_bytes; /* size of the header section, including the target */
 	bool requests; /* parses requests, otherwise answers */
-	const char *fault; /* why bytes are no answer, or NULL */
+	const char *fault; /* why a check refused the message, or NULL */
 	bool no_body; /* the answer has no body, as for HEAD */
 	bool started; /* a byte of the message was received */
 	bool head_complete;
