--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,8 @@
-"""Many daemons are killed at once while the replicas of a service are cold."""
+"""All replicas of a service crash once, while many clients send the same
+request on a route that was added later."""
 import asyncio
 import os
 import random
-import signal
 import sys
 import time
 
@@ -10,99 +10,116 @@
 sys.path.insert(0, os.path.dirname(HERE))
 import standin2 as standin  # noqa: E402
 
-SERVICE = "owner-desk"
-WARMUP_PER_S, WARMUP_S = 20.0, 30.0
-WARMUP_OVERRUN, WARMUP_SLACK = 1.5, 5
-BOUND = WARMUP_PER_S * WARMUP_OVERRUN + WARMUP_SLACK
-HEARTBEAT_S = 1.2
-KILLED = 4  # herd_kill: share = 0.6 of six machines, the seeds first
-RESTART_S = 0.5
-CLIENTS_PER_DAEMON, PAUSE_S = 6, (0.03, 0.09)
-
-
-async def beat(fleet, cold_since):
-    """Each replica tells the store how long it stays cold."""
-    while True:
-        for replica in fleet.replicas:
-            left_s = cold_since + WARMUP_S - time.monotonic()
-            replica.warmup_left_ms = max(int(left_s * 1000), 0)
-            replica.register()
-        await asyncio.sleep(HEARTBEAT_S)
-
-
-async def client(fleet, daemon, counts, stopped):
-    while not stopped.is_set():
-        request_id = fleet.new_id()
-        status, _, _ = await standin.ask(
-            daemon.ip, daemon.PORTS["caller"], "GET", "/miba74/2f",
+FIRST, LATER = "billing-hub", "owner-desk"
+PATHS = {FIRST: "/rany33/2f", LATER: "/miba74/2f"}
+REPLICAS_PER_ZONE, CLIENTS_PER_DAEMON = 2, 2
+PAUSE_S = (0.1, 0.3)
+DOWN_S, LAPSE_S = 4.5, 3.6  # LAPSE_S: three heartbeats without a sign of life
+CONTACT_S, JUDGED_S = 5.0, 20.0
+LEAST_REQUESTS, LEAST_SHARE = 20, 0.25
+
+
+def route(service):
+    return {"name": f"r-{service}", "host": "tile33.example",
+            "prefix": PATHS[service][:-2], "routeType": "idempotent",
+            "timeoutMs": 10000, "targetLatencyMs": 1000, "priority": 2,
+            "service": service, "maxAttempts": 2, "allowedRegions": []}
+
+
+def configure(fleet, version, services):
+    fleet.configure(version, [route(s) for s in services], [
+        {"name": s, "healthPath": "/health", "maxConnections": 42,
+         "protocol": "h1", "tls": False, "warmupS": 3.0, "warmupPerS": 0.0}
+        for s in PATHS])
+
+
+class Clients:
+    def __init__(self, fleet):
+        self.fleet, self.results, self.stopped = fleet, [], False
+
+    async def ask(self, daemon, service, path):
+        sent = time.monotonic()
+        request_id = self.fleet.new_id()
+        status, headers, _ = await standin.ask(
+            daemon.ip, daemon.PORTS["caller"], "GET", path,
             {"Host": "tile33.example", "Request-Id": request_id,
-             "Deadline-Ms": "2000"}, timeout_s=2.2)
-        counts[status] = counts.get(status, 0) + 1
-        await asyncio.sleep(random.uniform(*PAUSE_S))
+             "Deadline-Ms": "10000"}, timeout_s=10)
+        self.fleet.record.line(
+            f"{daemon.name} answers {request_id} {path}: {status} "
+            f"Retry-After {headers.get('retry-after', '-')}")
+        self.results.append((sent, service, status))
+        return status
 
+    async def run(self, daemon, service):
+        while not self.stopped:
+            await self.ask(daemon, service, PATHS[service])
+            await asyncio.sleep(random.uniform(*PAUSE_S))
 
-def busiest_second(times):
-    """Return (arrivals, begin) of the second with the most arrivals."""
-    best, first = (0, 0.0), 0
-    for last, end in enumerate(times):
-        while times[first] <= end - 1:
-            first += 1
-        best = max(best, (last - first + 1, times[first]))
-    return best
+    def served(self, service, begin, end):
+        statuses = [status for sent, name, status in self.results
+                    if name == service and begin <= sent < end]
+        return sum(status == 200 for status in statuses), len(statuses)
 
 
-async def restart(daemon):
-    daemon.send_signal(signal.SIGKILL)
-    await daemon.process.wait()
-    await asyncio.sleep(RESTART_S)
-    await daemon.start()
+async def crash(fleet, replicas):
+    """Crash the replicas; they are back with new ids after DOWN_S."""
+    for replica in replicas:
+        await replica.stop()
+    fleet.record.say(f"the {len(replicas)} replicas of {LATER} crash")
+    await asyncio.sleep(LAPSE_S)
+    for replica in replicas:
+        fleet.store.put(f"servers/{replica.id}", None)
+    await asyncio.sleep(DOWN_S - LAPSE_S)
+    for replica in replicas:
+        replica.begin_incarnation()
+        await replica.start()
+    fleet.record.say(f"the replicas of {LATER} are back")
 
 
 async def main(fleet):
     record = fleet.record
-    for zone in standin.REGION_OF:
-        replica = standin.Replica(fleet, SERVICE, zone, work_s=0.02)
-        fleet.replicas.append(replica)
-        await replica.start()
-    fleet.configure(1, [{
-        "name": "ledger", "host": "tile33.example", "prefix": "/miba74/",
-        "routeType": "idempotent", "timeoutMs": 2000, "targetLatencyMs": 500,
-        "priority": 1, "service": SERVICE, "maxAttempts": 2,
-        "allowedRegions": []}], [{
-            "name": SERVICE, "healthPath": "/health", "maxConnections": 42,
-            "protocol": "h1", "tls": False, "warmupS": WARMUP_S,
-            "warmupPerS": WARMUP_PER_S}])
+    for service in PATHS:
+        for zone in standin.REGION_OF:
+            for _ in range(REPLICAS_PER_ZONE):
+                replica = standin.Replica(fleet, service, zone, work_s=0.2)
+                fleet.replicas.append(replica)
+                await replica.start()
+    configure(fleet, 3, [FIRST])
     if not await fleet.start_daemons():
         return standin.NOT_RUN
-    await asyncio.sleep(6.0)
-    record.say("the replicas turn cold and say so")
-    beats = asyncio.create_task(beat(fleet, time.monotonic()))
-    await asyncio.sleep(4.0)
+    await asyncio.sleep(2.0)
+    configure(fleet, 7, [FIRST, LATER])
+    await asyncio.sleep(5.0)
+    clients = Clients(fleet)
     begun = time.monotonic()
-    counts, stopped = {}, asyncio.Event()
-    clients = [asyncio.create_task(client(fleet, d, counts, stopped))
-               for d in fleet.daemons for _ in range(CLIENTS_PER_DAEMON)]
-    await asyncio.sleep(6.0)
+    tasks = [asyncio.create_task(clients.run(d, s)) for d in fleet.daemons
+             for s in PATHS for _ in range(CLIENTS_PER_DAEMON)]
+    await asyncio.sleep(5.0)
+    good, sent = clients.served(LATER, begun, time.monotonic() - 1)
+    record.say(f"calm: {good} of {sent} requests on the later route served")
+    if good < 0.95 * sent:
+        return standin.NOT_RUN
     if standin.TROUBLE:
-        killed = fleet.daemons[:KILLED]
-        record.say("killed at once: " + ", ".join(d.name for d in killed))
-        await asyncio.gather(*(restart(d) for d in killed))
-    await asyncio.sleep(8.0)
-    stopped.set()
-    await asyncio.gather(*clients)
-    beats.cancel()
-
-    result = standin.KEPT
-    for replica in fleet.replicas:
-        times = [at - record.started for at, r, _, _ in fleet.arrivals
-                 if r is replica and at > begun]
-        most, at = busiest_second(times)
-        record.say(f"FAILBACK: {replica.zone}: at most {most} requests in a "
-                   f"second, from {at:.2f} s; allowed {BOUND:g}")
-        if most > BOUND:
-            result = standin.BROKEN
-    record.say(f"answers by status: {counts}")
-    return result
+        await crash(fleet, [r for r in fleet.replicas if r.service == LATER])
+    judged = time.monotonic() + CONTACT_S
+    await asyncio.sleep(CONTACT_S + JUDGED_S)
+    clients.stopped = True
+    await asyncio.gather(*tasks)
+    other = [await clients.ask(d, "other", PATHS[LATER] + "0")
+             for d in fleet.daemons]
+
+    share = {}
+    for service in PATHS:
+        good, sent = clients.served(service, judged, judged + JUDGED_S - 1)
+        share[service] = good / sent
+        enough = sent >= LEAST_REQUESTS
+        record.say(f"from {CONTACT_S:g} s after that, {good} of {sent} "
+                   f"requests on {service}'s route served")
+    record.say(f"another path of the same route then: {other}")
+    if not enough:
+        return standin.NOT_RUN
+    broken = share[LATER] < LEAST_SHARE * share[FIRST]
+    return standin.BROKEN if broken else standin.KEPT
 
 
 standin.run_case(main, HERE)
--- a/review/standin2.py
+++ b/review/standin2.py
@@ -189,13 +189,17 @@
     def __init__(self, fleet, service, zone, work_s=0.005, slots=3):
         self.fleet, self.service, self.zone = fleet, service, zone
         self.work_s, self.slots, self.shed = work_s, slots, 0.0
-        self.id = f"i-{random.getrandbits(40):010x}"
-        self.running, self.sequence, self.state = 0, 0, "ready"
-        self.warmup_left_ms = 0
-        self.free = asyncio.Semaphore(slots)
         self.ip = free_address([8080])
         self.server = None
+        self.warmup_left_ms = 0
+        self.begin_incarnation()
+
+    def begin_incarnation(self):
+        """Forget everything, as a process that starts does."""
+        self.id = f"i-{random.getrandbits(40):010x}"
         self.born = int(time.time() * 1000)
+        self.sequence, self.state = 0, "ready"
+        self.free = asyncio.Semaphore(self.slots)
         self.writers = set()
 
     async def start(self):
