--- a/review/standin2.py
+++ b/review/standin2.py
@@ -295,7 +295,8 @@
 
     def send_signal(self, number):
         self.fleet.record.line(f"{self.name} gets {signal.Signals(number).name}")
-        self.process.send_signal(number)
+        if self.process.returncode is None:
+            self.process.send_signal(number)
 
     async def wait_ready(self, limit_s):
         end = time.monotonic() + limit_s
