route: Probe a blocked request five seconds after the last crash

Cause: a block can only be refuted by a good answer, and no copy was sent that could have one until the first probe, five minutes after the last crash. In the logs of the case, 1 ms after the crash two daemons had lost copies on three replicas, each confirmed as crashed (the evidence is right, the conclusion is not), all daemons blocked the request 20 ms later, none logged request-probed, and 1,763 copies were refused until the end.

The first probe is now due after 5 s, when crashed replicas are usually back, the others after a minute and a quarter of an hour. There are still at most three, one for each seed; a seed waits 2 s for each one before it, so that the first probe doesn't depend on one daemon. Crashes of one moment go on counting: copies of a request that does crash replicas may come at one moment, too.

--- a/include/cuminsail/route_blocklist.h
+++ b/include/cuminsail/route_blocklist.h
@@ -152,9 +152,10 @@
  *	ROUTE_NO_PROBER
  * @now_us: current time
  *
- * A blocked request may be sent once by each prober, the first time five
- * minutes after the last crash and by the others five minutes later each. A
- * good answer to a probe clears a request that was blocked wrongly.
+ * A blocked request may be sent once by each prober: the first probe is due
+ *five seconds after the last crash, the others a minute and a quarter of an
+ *hour after it. Lower probers go first, two seconds before the next one. A good
+ * answer to a probe clears a request that was blocked wrongly.
  *
  * Return: false if the request is blocked.
  */
--- a/src/libroute/blocklist.c
+++ b/src/libroute/blocklist.c
@@ -7,8 +7,18 @@
 /* A request that has not come for this long is removed. */
 #define EXPIRY_US (600 * CS_US_PER_S)
 
-/* Time from the last crash to the first probe, and between the probes. */
-#define PROBE_DELAY_US (300 * CS_US_PER_S)
+/* Time from the last crash to each probe. By the first one, replicas that have
+ * crashed are back: a request that was only lost with them has a good answer
+ * then. The others are for replicas that take longer, or were repaired. */
+static const gint64 probe_delays_us[ROUTE_PROBERS_MAX] = {
+	5 * CS_US_PER_S,
+	60 * CS_US_PER_S,
+	900 * CS_US_PER_S,
+};
+
+/* How long a prober waits for each prober before it, which may be down or
+ * receive no copy. */
+#define PROBE_TURN_US (2 * CS_US_PER_S)
 
 struct route_blocklist {
 	GHashTable *blocks; /* digest to struct route_block */
@@ -228,6 +238,36 @@
 	return last_us;
 }
 
+/* Return: number of the lowest @n bits that are not set. */
+static guint count_unset(guint bits, guint n)
+{
+	return n - (guint)__builtin_popcount(bits & ((1U << n) - 1));
+}
+
+/* Return: when the next probe is due; G_MAXINT64 if all were sent. */
+static gint64 next_probe_us(const struct route_block *block)
+{
+	guint n_left = count_unset(block->probes, ROUTE_PROBERS_MAX);
+
+	if (!n_left)
+		return G_MAXINT64;
+	return last_crash_us(block) +
+	       probe_delays_us[ROUTE_PROBERS_MAX - n_left];
+}
+
+/* Return: whether it is a prober's turn to send the next probe. */
+static bool may_probe(const struct route_block *block, int prober,
+		      gint64 now_us)
+{
+	guint n_before;
+
+	if (prober < 0 || prober >= ROUTE_PROBERS_MAX ||
+	    block->probes & 1U << prober)
+		return false;
+	n_before = count_unset(block->probes, (guint)prober);
+	return now_us - n_before * PROBE_TURN_US >= next_probe_us(block);
+}
+
 bool route_blocklist_admits(struct route_blocklist *list,
 			    const struct route_digest *digest, int prober,
 			    gint64 now_us)
@@ -239,9 +279,7 @@
 	block->came_us = now_us;
 	if (block->n_crashes < ROUTE_CRASHES_TO_BLOCK)
 		return true;
-	if (prober < 0 || prober >= ROUTE_PROBERS_MAX ||
-	    block->probes & 1U << prober ||
-	    now_us - last_crash_us(block) < (prober + 1) * PROBE_DELAY_US)
+	if (!may_probe(block, prober, now_us))
 		return false;
 	block->probes |= 1U << prober;
 	return true;
--- a/test/unit/test_blocklist.c
+++ b/test/unit/test_blocklist.c
@@ -71,6 +71,31 @@
 }
 END_TEST
 
+/* Guards against further copies after the first probe, which every daemon
+ * counts. */
+START_TEST(the_first_probe_crashes_one_more_replica)
+{
+	struct cluster cluster;
+
+	cluster_create(&cluster);
+	cluster_run(&cluster, 1000);
+	block(&cluster);
+	cluster_run(&cluster, 2000);
+	for (guint i = 2; i < DAEMONS; i++)
+		ck_assert_uint_eq(cluster_ask(&cluster, i, "/once" DEADLY),
+				  503);
+	ck_assert_uint_eq(cluster_ask(&cluster, 0, "/once" DEADLY), 502);
+	for (guint i = 0; i < 20 * DAEMONS; i++) {
+		ck_assert_uint_eq(
+			cluster_ask(&cluster, i % DAEMONS, "/once" DEADLY),
+			503);
+		cluster_run(&cluster, 200);
+	}
+	ck_assert_uint_eq(cluster.crashes->len, 4);
+	cluster_destroy(&cluster);
+}
+END_TEST
+
 START_TEST(a_daemon_that_starts_learns_what_is_blocked)
 {
 	static const guint numbers[] = {0, 5}; /* a seed, a follower */
@@ -403,6 +428,93 @@
 }
 END_TEST
 
+/* Copies of a request that all replicas of a service run at a time. */
+enum { COPIES = 4 * DAEMONS };
+
+static void crash_replica(struct cluster *cluster, guint i)
+{
+	cluster->replicas[i].silent = false;
+	net_server_destroy(cluster->replicas[i].server);
+	cluster->replicas[i].server = NULL;
+	cluster->replicas[i].down_at = cluster->step;
+}
+
+/* The replicas from @first up to @end crash while the daemons have sent copies
+ * of a request. */
+static void crash_replicas_under(struct cluster *cluster, const char *target,
+				 guint first, guint end)
+{
+	g_autofree char *text = g_strdup_printf(
+		"GET %s HTTP/1.1\r\nHost: h\r\nId: r1\r\nWait: 900\r\n\r\n",
+		target);
+	struct net_client *callers[COPIES];
+
+	for (guint i = first; i < end; i++)
+		cluster->replicas[i].silent = true;
+	for (guint i = 0; i < COPIES; i++) {
+		callers[i] = net_connect(
+			&cluster->net,
+			&cluster->daemons[i % DAEMONS].settings.caller);
+		net_send(callers[i], text);
+	}
+	net_advance(&cluster->net, 20);
+	for (guint i = first; i < end; i++)
+		crash_replica(cluster, i);
+	cluster_run(cluster, 500);
+	for (guint i = 0; i < COPIES; i++)
+		net_close(callers[i]);
+}
+
+static void check_served_by_all(struct cluster *cluster, const char *target)
+{
+	for (guint i = 0; i < DAEMONS; i++)
+		ck_assert_msg(cluster_ask(cluster, i, target) == 200,
+			      "%s, daemon %u", target, i);
+}
+
+static bool is_any_blocked(struct cluster *cluster, guint daemon)
+{
+	g_autofree char *page =
+		ask_operators(cluster, daemon, "GET /v1/blocked");
+
+	return strstr(page, "\"blocked\":true") != NULL;
+}
+
+/* Guards against a request that stays blocked although its replicas are back:
+ * they crashed together, under several copies of it, by another cause. */
+START_TEST(a_frequent_request_is_served_again_after_its_replicas_crash_together)
+{
+	static const struct {
+		const char *target;
+		guint first, end;
+	} rows[] = {
+		{"/once/popular", 2 * SHARDS, REPLICAS},
+		{"/one/popular", 2 * SHARDS, REPLICAS},
+		{"/all/popular", 0, 2 * SHARDS},
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct cluster cluster;
+
+		cluster_create(&cluster);
+		cluster_run(&cluster, 1000);
+		/* The same happens once more. */
+		for (guint round = 0; round < 2; round++) {
+			crash_replicas_under(&cluster, rows[i].target,
+					     rows[i].first, rows[i].end);
+			/* In the second round few replicas may run it. */
+			ck_assert(round || is_any_blocked(&cluster, 5));
+			cluster_run(&cluster, 5000);
+			for (guint k = 0; k < DAEMONS; k++)
+				cluster_ask(&cluster, k, rows[i].target);
+			cluster_run(&cluster, 500);
+			check_served_by_all(&cluster, rows[i].target);
+		}
+		cluster_destroy(&cluster);
+	}
+}
+END_TEST
+
 START_TEST(an_operator_lists_and_clears_a_blocked_request)
 {
 	struct cluster cluster;
@@ -477,16 +589,11 @@
 	net_send(caller, GET("/all/x", ""));
 	/* With hedges every shard has two attempts. */
 	net_advance(&cluster.net, 150);
-	for (guint i = 0; i < 2 * SHARDS; i++) {
-		cluster.replicas[i].silent = false;
-		net_server_destroy(cluster.replicas[i].server);
-		cluster.replicas[i].server = NULL;
-		cluster.replicas[i].down_at = cluster.step;
-	}
+	for (guint i = 0; i < 2 * SHARDS; i++)
+		crash_replica(&cluster, i);
 	cluster_run(&cluster, 4000);
 	net_close(caller);
-	for (guint i = 0; i < DAEMONS; i++)
-		ck_assert_uint_eq(cluster_ask(&cluster, i, "/all/x"), 200);
+	check_served_by_all(&cluster, "/all/x");
 	cluster_destroy(&cluster);
 }
 END_TEST
@@ -661,32 +768,55 @@
 
 START_TEST(each_prober_sends_one_copy_and_all_know_of_it)
 {
+	static const int due_s[] = {5, 60, 900};
 	struct route_blocklist *a = route_blocklist_create();
 	struct route_blocklist *b = route_blocklist_create();
-	gint64 minute = 60 * CS_US_PER_S;
-	guint n = 0;
+	gint64 start = 60 * CS_US_PER_S;
 
 	for (guint i = 0; i < 3; i++)
-		crash(a, 1, i, minute);
-	tell(a, b, minute);
-	for (gint64 now = minute; now < 60 * minute; now += minute) {
-		bool sent = admits(a, 1, 0, now);
-
-		ck_assert(!sent || now == 6 * minute);
-		n += sent;
-		tell(a, b, now);
+		crash(a, 1, i, start);
+	tell(a, b, start);
+	for (int s = 0; s < 3600; s++) {
+		gint64 now = start + s * (gint64)CS_US_PER_S;
+
+		for (int prober = 0; prober < 3; prober++) {
+			ck_assert_msg(admits(prober ? b : a, 1, prober, now) ==
+					      (s == due_s[prober]),
+				      "prober %d at %d s", prober, s);
+			tell(a, b, now);
+			tell(b, a, now);
+		}
 		/* A seed that has restarted learns that it has sent one. */
-		ck_assert(!(now >= 6 * minute && admits(b, 1, 0, now)));
-		n += admits(b, 1, 1, now) + admits(b, 1, 2, now);
+		ck_assert(!(s >= due_s[0] && admits(b, 1, 0, now)));
 		ck_assert(!admits(b, 1, ROUTE_NO_PROBER, now));
 		ck_assert(!admits(b, 1, ROUTE_PROBERS_MAX, now));
 	}
-	ck_assert_uint_eq(n, 3);
 	route_blocklist_destroy(a);
 	route_blocklist_destroy(b);
 }
 END_TEST
 
+/* Guards against a request that stays blocked because the first prober is down
+ * or receives no copy. */
+START_TEST(the_next_prober_takes_over_the_first_probe)
+{
+	static const int due_ms[] = {5000, 7000, 9000};
+	gint64 start = 60 * CS_US_PER_S;
+
+	for (int prober = 0; prober < 3; prober++) {
+		struct route_blocklist *list = route_blocklist_create();
+		gint64 due = start + due_ms[prober] * (gint64)CS_US_PER_MS;
+
+		for (guint i = 0; i < 3; i++)
+			crash(list, 1, i, start);
+		ck_assert(!admits(list, 1, prober, due - 1));
+		ck_assert(admits(list, 1, prober, due));
+		ck_assert(!admits(list, 1, prober, due + start));
+		route_blocklist_destroy(list);
+	}
+}
+END_TEST
+
 START_TEST(many_crashing_requests_do_not_displace_a_blocked_one)
 {
 	struct route_blocklist *list = route_blocklist_create();
@@ -775,6 +905,7 @@
 	  a_suspected_query_is_sent_to_one_shard_first,
 	  a_suspected_query_is_sent_to_one_shard_also_without_the_first,
 	  a_query_without_any_answer_is_not_hedged,
+	  a_frequent_request_is_served_again_after_its_replicas_crash_together,
 	  a_good_answer_clears_the_crashes_at_all_daemons,
 	  a_query_that_fails_by_crashes_is_not_left_running,
 	  all_daemons_know_of_a_crash_within_a_fifth_of_a_second,
@@ -785,4 +916,6 @@
 	  lists_that_are_exchanged_in_any_order_become_equal,
 	  many_crashing_requests_do_not_displace_a_blocked_one,
 	  several_daemons_send_on_a_request_that_has_crashed_three_replicas,
+	  the_first_probe_crashes_one_more_replica,
+	  the_next_prober_takes_over_the_first_probe,
 	  what_differs_from_a_blocked_request_is_served)
