route: A probe of a blocked request counts once a replica gets it

Cause: a copy was counted as the seed's probe, and the others told, when it was admitted. If it then found no replica, was refused by all of them, or waited for a free slot in vain, the probe was used up without any evidence.

The copy is now pending at its daemon, which admits no other one meanwhile; it counts when it is written on a connection to a replica, and is given back if its job ends before. A copy that is sent to a peer does not count here. The sum of three over all daemons stays.

unit blocklist: a_probe_without_a_replica_is_sent_when_one_is_back failed before ("/one/popular, daemon 0": 503 after replicas were down for 5.5 s).

--- a/include/cuminsail/route_blocklist.h
+++ b/include/cuminsail/route_blocklist.h
@@ -71,6 +71,9 @@
 	/* The last copy that this daemon saw crash replicas; not exchanged. */
 	guint32 copy;
 	guint n_of_copy;
+	/* The probe that this daemon is about to send; not exchanged. */
+	guint pending_probe; /* its bit in @probes; 0: none */
+	guint32 pending_copy;
 };
 
 struct route_blocklist;
@@ -148,6 +151,7 @@
  * route_blocklist_admits - decide whether a request that arrives may be sent
  * @list: a list
  * @digest: the request
+ * @copy: number of the copy, as in route_blocklist_crashed()
  * @prober: number of this daemon among those that send probes, or
  *	ROUTE_NO_PROBER
  * @now_us: current time
@@ -155,13 +159,38 @@
  * A blocked request may be sent once by each prober: the first probe is due
  *five seconds after the last crash, the others a minute and a quarter of an
  *hour after it. Lower probers go first, two seconds before the next one. A good
- * answer to a probe clears a request that was blocked wrongly.
+ * answer to a probe clears a request that was blocked wrongly. A copy that is
+ * admitted as a probe is pending until route_blocklist_probe_sent() or
+ * route_blocklist_probe_ended() is called for it; meanwhile no other copy is
+ * admitted.
  *
  * Return: false if the request is blocked.
  */
 bool route_blocklist_admits(struct route_blocklist *list,
-			    const struct route_digest *digest, int prober,
-			    gint64 now_us);
+			    const struct route_digest *digest, guint32 copy,
+			    int prober, gint64 now_us);
+
+/**
+ * route_blocklist_probe_sent - record that a probe was sent to a replica
+ * @list: a list
+ * @digest: the request
+ * @copy: number of the copy
+ *
+ * Return: false if @copy is not a pending probe, and nothing has changed.
+ */
+bool route_blocklist_probe_sent(struct route_blocklist *list,
+				const struct route_digest *digest,
+				guint32 copy);
+
+/**
+ * route_blocklist_probe_ended - give back a probe that was not sent
+ * @list: a list
+ * @digest: the request
+ * @copy: number of the copy; ignored if it is not a pending probe
+ */
+void route_blocklist_probe_ended(struct route_blocklist *list,
+				 const struct route_digest *digest,
+				 guint32 copy);
 
 /**
  * route_blocklist_active - check whether any request has crashes
--- a/src/libforward/blocklist.c
+++ b/src/libforward/blocklist.c
@@ -189,19 +189,37 @@
 	digest = forward_job_digest(job);
 	n_crashes = route_blocklist_crashes(engine->blocklist, digest);
 	job->suspected = n_crashes > 0;
-	if (!route_blocklist_admits(engine->blocklist, digest, prober(engine),
-				    forward_now(engine))) {
+	if (!route_blocklist_admits(engine->blocklist, digest, job->number,
+				    prober(engine), forward_now(engine))) {
 		log_refusal(job, digest);
 		return false;
 	}
-	if (is_blocked(n_crashes)) {
-		job->probe = true;
-		log_change("request-probed", digest, "caller");
-		own_list_changed(engine, true);
-	}
+	job->probe = is_blocked(n_crashes);
 	return true;
 }
 
+void forward_blocklist_sent(struct forward_job *job)
+{
+	struct forward_engine *engine = job->engine;
+	const struct route_digest *digest;
+
+	if (!job->probe || job->relaying)
+		return;
+	digest = forward_job_digest(job);
+	if (!route_blocklist_probe_sent(engine->blocklist, digest, job->number))
+		return;
+	log_change("request-probed", digest, "caller");
+	own_list_changed(engine, true);
+}
+
+void forward_blocklist_ended(struct forward_job *job)
+{
+	if (job->probe)
+		route_blocklist_probe_ended(job->engine->blocklist,
+					    forward_job_digest(job),
+					    job->number);
+}
+
 bool forward_blocklist_condemns(struct forward_job *job)
 {
 	return job->n_lost && !job->n_done && job->route->idempotent &&
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -488,6 +488,12 @@
 /* Return: false if the job's request is blocked. */
 bool forward_blocklist_admits(struct forward_job *job);
 
+/* A request of the job was sent to a replica, or to a peer. */
+void forward_blocklist_sent(struct forward_job *job);
+
+/* The job ends. */
+void forward_blocklist_ended(struct forward_job *job);
+
 /* Return: whether a replica has crashed under the job's request, or is being
  * checked. */
 bool forward_blocklist_suspects(struct forward_job *job);
--- a/src/libforward/job.c
+++ b/src/libforward/job.c
@@ -45,6 +45,7 @@
 	struct forward_engine *engine = job->engine;
 
 	job->closing = true;
+	forward_blocklist_ended(job);
 	for (guint i = 0; i < job->n_parts; i++)
 		forward_part_release(&job->parts[i], drain_us);
 	cs_timer_disarm(engine->clock, &job->timer);
--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -287,6 +287,7 @@
 	if (attempt->part) {
 		attempt->part->n_may_have_run++;
 		attempt->hedge_due_us = hedge_due(attempt->part, attempt);
+		forward_blocklist_sent(attempt->part->job);
 		forward_job_update(attempt->part->job);
 	}
 }
@@ -453,6 +454,8 @@
 	http1_client_send(connection->client, engine->request_head,
 			  request->body->data, request->body->len,
 			  !strcmp(request->method, "HEAD"));
+	if (attempt->connected)
+		forward_blocklist_sent(job);
 	return true;
 }
 
--- a/src/libroute/blocklist.c
+++ b/src/libroute/blocklist.c
@@ -135,6 +135,12 @@
 	return block;
 }
 
+static void reset_probes(struct route_block *block)
+{
+	block->probes = 0;
+	block->pending_probe = 0;
+}
+
 static void drop_cleared_crashes(struct route_block *block)
 {
 	guint n = 0;
@@ -205,7 +211,7 @@
 	if (!block || !block->n_crashes)
 		return false;
 	block->cleared_us = now_us;
-	block->probes = 0;
+	reset_probes(block);
 	drop_cleared_crashes(block);
 	list->n_active -= !block->n_crashes;
 	return true;
@@ -261,7 +267,7 @@
 {
 	guint n_before;
 
-	if (prober < 0 || prober >= ROUTE_PROBERS_MAX ||
+	if (prober < 0 || prober >= ROUTE_PROBERS_MAX || block->pending_probe ||
 	    block->probes & 1U << prober)
 		return false;
 	n_before = count_unset(block->probes, (guint)prober);
@@ -269,8 +275,8 @@
 }
 
 bool route_blocklist_admits(struct route_blocklist *list,
-			    const struct route_digest *digest, int prober,
-			    gint64 now_us)
+			    const struct route_digest *digest, guint32 copy,
+			    int prober, gint64 now_us)
 {
 	struct route_block *block = find_block(list, digest);
 
@@ -281,10 +287,45 @@
 		return true;
 	if (!may_probe(block, prober, now_us))
 		return false;
-	block->probes |= 1U << prober;
+	block->pending_probe = 1U << prober;
+	block->pending_copy = copy;
 	return true;
 }
 
+/* Return: the request whose pending probe is a copy, or NULL. */
+static struct route_block *find_pending(const struct route_blocklist *list,
+					const struct route_digest *digest,
+					guint32 copy)
+{
+	struct route_block *block = find_block(list, digest);
+
+	if (!block || !block->pending_probe || block->pending_copy != copy)
+		return NULL;
+	return block;
+}
+
+bool route_blocklist_probe_sent(struct route_blocklist *list,
+				const struct route_digest *digest, guint32 copy)
+{
+	struct route_block *block = find_pending(list, digest, copy);
+
+	if (!block)
+		return false;
+	block->probes |= block->pending_probe;
+	block->pending_probe = 0;
+	return true;
+}
+
+void route_blocklist_probe_ended(struct route_blocklist *list,
+				 const struct route_digest *digest,
+				 guint32 copy)
+{
+	struct route_block *block = find_pending(list, digest, copy);
+
+	if (block)
+		block->pending_probe = 0;
+}
+
 bool route_blocklist_active(const struct route_blocklist *list)
 {
 	return list->n_active > 0;
@@ -320,7 +361,7 @@
 	if (!matters)
 		return false;
 	block->cleared_us = MAX(block->cleared_us, cleared_us);
-	block->probes = 0;
+	reset_probes(block);
 	drop_cleared_crashes(block);
 	return true;
 }
--- a/test/unit/test_blocklist.c
+++ b/test/unit/test_blocklist.c
@@ -515,6 +515,29 @@
 }
 END_TEST
 
+/* Guards against a request that stays blocked because its first probe was used
+ * up while no replica was up. */
+START_TEST(a_probe_without_a_replica_is_sent_when_one_is_back)
+{
+	struct cluster cluster;
+
+	cluster_create(&cluster);
+	cluster_run(&cluster, 1000);
+	crash_replicas_under(&cluster, "/one/popular", 2 * SHARDS, REPLICAS);
+	ck_assert(is_any_blocked(&cluster, 5));
+	cluster_run(&cluster, 2000);
+	/* They take 5.5 s in all. */
+	for (guint i = 2 * SHARDS; i < REPLICAS; i++)
+		cluster.replicas[i].down_at = cluster.step;
+	for (guint i = 0; i < 50; i++) {
+		cluster_ask(&cluster, i % DAEMONS, "/one/popular");
+		cluster_run(&cluster, 3 * STEP_MS);
+	}
+	check_served_by_all(&cluster, "/one/popular");
+	cluster_destroy(&cluster);
+}
+END_TEST
+
 START_TEST(an_operator_lists_and_clears_a_blocked_request)
 {
 	struct cluster cluster;
@@ -690,8 +713,11 @@
 		   gint64 now)
 {
 	struct route_digest digest = digest_of(request);
+	bool admitted = route_blocklist_admits(list, &digest, 1, prober, now);
 
-	return route_blocklist_admits(list, &digest, prober, now);
+	/* A copy that is admitted is sent. */
+	route_blocklist_probe_sent(list, &digest, 1);
+	return admitted;
 }
 
 struct copy {
@@ -817,6 +843,40 @@
 }
 END_TEST
 
+/* Guards against two probes at a time, and against one that is given back after
+ * it was sent. */
+START_TEST(a_pending_probe_is_sent_or_given_back_once)
+{
+	struct route_blocklist *list = route_blocklist_create();
+	struct route_digest digest = digest_of(1);
+	gint64 now = 30 * CS_US_PER_S;
+
+	for (guint i = 0; i < 3; i++)
+		crash(list, 1, i, 1000);
+	for (guint32 copy = 1; copy < 9; copy++) {
+		ck_assert(route_blocklist_admits(list, &digest, copy, 0, now));
+		ck_assert(!route_blocklist_admits(list, &digest, 9, 0, now));
+		ck_assert(!route_blocklist_probe_sent(list, &digest, 9));
+		route_blocklist_probe_ended(list, &digest, 9);
+		ck_assert(!route_blocklist_admits(list, &digest, 9, 0, now));
+		route_blocklist_probe_ended(list, &digest, copy);
+	}
+	ck_assert(route_blocklist_admits(list, &digest, 9, 0, now));
+	ck_assert(route_blocklist_probe_sent(list, &digest, 9));
+	ck_assert(!route_blocklist_probe_sent(list, &digest, 9));
+	route_blocklist_probe_ended(list, &digest, 9);
+	ck_assert(!route_blocklist_admits(list, &digest, 10, 0, now));
+	/* A good answer meanwhile leaves nothing pending. */
+	ck_assert(route_blocklist_admits(list, &digest, 11, 1, 3 * now));
+	ck_assert(route_blocklist_clear(list, &digest, 3 * now));
+	ck_assert(!route_blocklist_probe_sent(list, &digest, 11));
+	for (guint i = 0; i < 3; i++)
+		crash(list, 1, i, 4 * now);
+	ck_assert(route_blocklist_admits(list, &digest, 12, 0, 5 * now));
+	route_blocklist_destroy(list);
+}
+END_TEST
+
 START_TEST(many_crashing_requests_do_not_displace_a_blocked_one)
 {
 	struct route_blocklist *list = route_blocklist_create();
@@ -898,6 +958,8 @@
 	  a_daemon_alone_ends_two_replicas_with_one_request,
 	  a_daemon_that_starts_learns_what_is_blocked,
 	  a_daemon_without_seeds_blocks_by_its_own_crashes,
+	  a_pending_probe_is_sent_or_given_back_once,
+	  a_probe_without_a_replica_is_sent_when_one_is_back,
 	  a_query_that_many_crashes_hit_at_once_is_not_blocked,
 	  a_request_is_hedged_after_a_reset_connection,
 	  a_request_is_the_same_however_its_body_is_sent,
