forward: A probe of a query goes to one replica only

A query that crashes replicas ended one more of them with each probe than was meant: two, or three on routes that answer without a quarter of the shards.

Cause: a part of a suspected query that failed lets the next part go first, also when it failed as its replica crashed under the probe. The probe so went from shard to shard until the query had failed. Five minutes after the last crash this was rare; it shows with the probe after five seconds.

Once a replica has got the probe, parts without an answer are stopped; after a good answer they go as before.

unit blocklist: a_probe_of_a_query_is_sent_to_one_shard_only failed before (two crashes).

--- a/src/libforward/blocklist.c
+++ b/src/libforward/blocklist.c
@@ -205,6 +205,7 @@
 
 	if (!job->probe || job->relaying)
 		return;
+	job->probe_sent = true;
 	digest = forward_job_digest(job);
 	if (!route_blocklist_probe_sent(engine->blocklist, digest, job->number))
 		return;
@@ -265,7 +266,8 @@
 	if (job->suspected && part != first_part(job))
 		return FORWARD_HOLD;
 	if (job->probe)
-		return part->n_sent ? FORWARD_STOP : FORWARD_GO;
+		return part->n_sent || job->probe_sent ? FORWARD_STOP
+						       : FORWARD_GO;
 	digest = forward_job_digest(job);
 	n_crashes = route_blocklist_crashes(engine->blocklist, digest);
 	if (n_crashes >= limit)
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -117,6 +117,7 @@
 	guint n_lost; /* attempts whose connection was closed */
 	bool suspected; /* replicas have crashed under this request */
 	bool probe; /* blocked, and sent to see whether it still crashes */
+	bool probe_sent; /* a replica has got it */
 	bool closing; /* the job is ending: no new attempts */
 	struct forward_part *parts; /* own_parts, or relay_part */
 	struct forward_part own_parts[];
--- a/test/unit/test_blocklist.c
+++ b/test/unit/test_blocklist.c
@@ -96,6 +96,30 @@
 }
 END_TEST
 
+/* Guards against a probe of a query that goes on to the next shard after it has
+ * crashed a replica of the first one. */
+START_TEST(a_probe_of_a_query_is_sent_to_one_shard_only)
+{
+	struct cluster cluster;
+	guint n_crashes;
+
+	cluster_create(&cluster);
+	cluster_run(&cluster, 1000);
+	for (guint i = 2; i < DAEMONS; i++) {
+		cluster_ask(&cluster, i, "/all" DEADLY);
+		cluster_run(&cluster, 400);
+	}
+	n_crashes = cluster.crashes->len;
+	ck_assert_uint_ge(n_crashes, 3);
+	cluster_run(&cluster, 5000);
+	ck_assert_uint_eq(cluster.crashes->len, n_crashes);
+	ck_assert_uint_eq(cluster_ask(&cluster, 0, "/all" DEADLY), 502);
+	cluster_run(&cluster, 1000);
+	ck_assert_uint_eq(cluster.crashes->len, n_crashes + 1);
+	cluster_destroy(&cluster);
+}
+END_TEST
+
 START_TEST(a_daemon_that_starts_learns_what_is_blocked)
 {
 	static const guint numbers[] = {0, 5}; /* a seed, a follower */
@@ -959,6 +983,7 @@
 	  a_daemon_that_starts_learns_what_is_blocked,
 	  a_daemon_without_seeds_blocks_by_its_own_crashes,
 	  a_pending_probe_is_sent_or_given_back_once,
+	  a_probe_of_a_query_is_sent_to_one_shard_only,
 	  a_probe_without_a_replica_is_sent_when_one_is_back,
 	  a_query_that_many_crashes_hit_at_once_is_not_blocked,
 	  a_request_is_hedged_after_a_reset_connection,
