reply: Tell callers of a blocked request when the next probe is

Callers that obey Retry-After stayed away for a minute from a request that was blocked wrongly, though it was served again after five seconds; and as none of them came, no daemon had a copy for the probe.

Cause: a constant, from when the first probe was due after five minutes.

Retry-After is now the time until the next probe is due, and half a second in which a copy reaches the seed and its result all daemons, at most a minute, spread over 0.2 s. A request that does crash replicas thus comes back after the first probe, and is told to wait a minute then.

unit blocklist: callers_of_a_blocked_request_return_after_the_next_probe failed before (60 s where the probe was due 1.6 s later).

--- a/include/cuminsail/route_blocklist.h
+++ b/include/cuminsail/route_blocklist.h
@@ -170,6 +170,17 @@
 			    const struct route_digest *digest, guint32 copy,
 			    int prober, gint64 now_us);
 
+/**
+ * route_blocklist_next_probe_us - when the next probe of a request is due
+ * @list: a list
+ * @digest: the request
+ *
+ * Return: time at which the first of the probers may send it; G_MAXINT64 if all
+ * probes were sent, 0 if the request is not blocked.
+ */
+gint64 route_blocklist_next_probe_us(const struct route_blocklist *list,
+				     const struct route_digest *digest);
+
 /**
  * route_blocklist_probe_sent - record that a probe was sent to a replica
  * @list: a list
--- a/src/libforward/blocklist.c
+++ b/src/libforward/blocklist.c
@@ -221,6 +221,15 @@
 					    job->number);
 }
 
+gint64 forward_blocklist_wait_us(struct forward_job *job)
+{
+	struct forward_engine *engine = job->engine;
+	gint64 due_us = route_blocklist_next_probe_us(engine->blocklist,
+						      forward_job_digest(job));
+
+	return MAX(due_us - forward_now(engine), 0);
+}
+
 bool forward_blocklist_condemns(struct forward_job *job)
 {
 	return job->n_lost && !job->n_done && job->route->idempotent &&
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -495,6 +495,10 @@
 /* The job ends. */
 void forward_blocklist_ended(struct forward_job *job);
 
+/* Return: time until the next probe of the job's request is due, G_MAXINT64 if
+ * there is none; 0 if the request is not blocked. */
+gint64 forward_blocklist_wait_us(struct forward_job *job);
+
 /* Return: whether a replica has crashed under the job's request, or is being
  * checked. */
 bool forward_blocklist_suspects(struct forward_job *job);
--- a/src/libforward/reply.c
+++ b/src/libforward/reply.c
@@ -18,18 +18,21 @@
  */
 #define RETRY_STOPPING_MS 0
 
-/* Callers that were refused during a rest return over this time after its end,
- * so that the replica does not meet all of them at once. */
-#define RETRY_REST_SPREAD_MS 200
+/* Callers that were refused during a rest or a block return over this time
+ * after its end, so that the replica does not meet all of them at once. */
+#define RETRY_SPREAD_MS 200
 
 /* Longest Retry-After for rate limits: a call to a seed then has told this
  * daemon of a limit that ended. */
 #define RETRY_LIMIT_MAX_MS 1000
 
-/* Retry-After for a request that crashes replicas: it is not worth repeating.
- */
+/* Longest Retry-After for a request that crashes replicas, or for a rest. */
 #define RETRY_BLOCKED_MS 60000
 
+/* Time in which a copy comes to the daemon that sends the next probe of a
+ * blocked request, and its result reaches all daemons. */
+#define RETRY_PROBE_MS 500
+
 static void log_outcome(const struct forward_job *job, const char *outcome,
 			guint status)
 {
@@ -194,10 +197,19 @@
 static gint64 rest_wait_ms(const struct forward_job *job)
 {
 	return MIN(wait_ms_of(job), RETRY_BLOCKED_MS) +
-	       g_random_int_range(0, RETRY_REST_SPREAD_MS);
+	       g_random_int_range(0, RETRY_SPREAD_MS);
+}
+
+/* Return: time until the result of the next probe is known. */
+static gint64 blocked_wait_ms(struct forward_job *job)
+{
+	gint64 wait_ms = forward_blocklist_wait_us(job) / CS_US_PER_MS;
+
+	return MIN(wait_ms, RETRY_BLOCKED_MS) + RETRY_PROBE_MS +
+	       g_random_int_range(0, RETRY_SPREAD_MS);
 }
 
-static gint64 retry_after_ms(const struct forward_job *job, int code)
+static gint64 retry_after_ms(struct forward_job *job, int code)
 {
 	switch (code) {
 	case CS_E_STOPPING:
@@ -207,7 +219,7 @@
 	case CS_E_NOT_READY:
 		return RETRY_CONFIG_MS;
 	case CS_E_BLOCKED:
-		return RETRY_BLOCKED_MS;
+		return blocked_wait_ms(job);
 	case CS_E_RATE_LIMIT:
 		return MIN(wait_ms_of(job), RETRY_LIMIT_MAX_MS);
 	case CS_E_REST:
--- a/src/libroute/blocklist.c
+++ b/src/libroute/blocklist.c
@@ -250,7 +250,6 @@
 	return n - (guint)__builtin_popcount(bits & ((1U << n) - 1));
 }
 
-/* Return: when the next probe is due; G_MAXINT64 if all were sent. */
 static gint64 next_probe_us(const struct route_block *block)
 {
 	guint n_left = count_unset(block->probes, ROUTE_PROBERS_MAX);
@@ -274,6 +273,16 @@
 	return now_us - n_before * PROBE_TURN_US >= next_probe_us(block);
 }
 
+gint64 route_blocklist_next_probe_us(const struct route_blocklist *list,
+				     const struct route_digest *digest)
+{
+	const struct route_block *block = find_block(list, digest);
+
+	if (!block || block->n_crashes < ROUTE_CRASHES_TO_BLOCK)
+		return 0;
+	return next_probe_us(block);
+}
+
 bool route_blocklist_admits(struct route_blocklist *list,
 			    const struct route_digest *digest, guint32 copy,
 			    int prober, gint64 now_us)
--- a/test/unit/test_blocklist.c
+++ b/test/unit/test_blocklist.c
@@ -452,6 +452,63 @@
 }
 END_TEST
 
+/* Return: Retry-After in milliseconds of a request that is refused. */
+static guint ask_retry_after(struct cluster *cluster, guint daemon,
+			     const char *target)
+{
+	g_autofree char *text = g_strdup_printf(
+		"GET %s HTTP/1.1\r\nHost: h\r\nId: r1\r\nWait: 900\r\n\r\n",
+		target);
+	struct net_client *caller = net_connect(
+		&cluster->net, &cluster->daemons[daemon].settings.caller);
+	const char *field;
+	guint s = 0;
+	guint ms = 0;
+
+	net_send(caller, text);
+	net_run_until_idle(&cluster->net);
+	net_read(caller);
+	ck_assert(g_str_has_prefix(caller->received->str, "HTTP/1.1 503"));
+	field = strstr(caller->received->str, "Retry-After: ");
+	ck_assert_ptr_nonnull(field);
+	ck_assert_int_eq(sscanf(field, "Retry-After: %u.%3u", &s, &ms), 2);
+	net_close(caller);
+	return s * 1000 + ms;
+}
+
+/* Guards against callers that are told to come back long after the probe, and
+ * against all coming back at the same moment. */
+START_TEST(callers_of_a_blocked_request_return_after_the_next_probe)
+{
+	struct cluster cluster;
+	guint wait_ms[2] = {0};
+
+	cluster_create(&cluster);
+	cluster_run(&cluster, 1000);
+	/* The last crash is 3.4 s old, the first probe due after 5 s. */
+	block(&cluster);
+	for (guint i = 0; i < 20; i++) {
+		guint ms = ask_retry_after(&cluster, 5, "/once" DEADLY);
+
+		ck_assert_uint_ge(ms, 1600);
+		ck_assert_uint_le(ms, 2600);
+		wait_ms[0] = i ? MIN(wait_ms[0], ms) : ms;
+		wait_ms[1] = MAX(wait_ms[1], ms);
+	}
+	ck_assert_uint_gt(wait_ms[1], wait_ms[0]);
+	/* It is due. */
+	cluster_run(&cluster, 2000);
+	ck_assert_uint_ge(ask_retry_after(&cluster, 5, "/once" DEADLY), 500);
+	ck_assert_uint_le(ask_retry_after(&cluster, 5, "/once" DEADLY), 1000);
+	/* The second one is due a minute after the last crash. */
+	ck_assert_uint_eq(cluster_ask(&cluster, 0, "/once" DEADLY), 502);
+	cluster_run(&cluster, 1000);
+	ck_assert_uint_ge(ask_retry_after(&cluster, 5, "/once" DEADLY), 50000);
+	ck_assert_uint_le(ask_retry_after(&cluster, 5, "/once" DEADLY), 61000);
+	cluster_destroy(&cluster);
+}
+END_TEST
+
 /* Copies of a request that all replicas of a service run at a time. */
 enum { COPIES = 4 * DAEMONS };
 
@@ -996,6 +1053,7 @@
 	  a_good_answer_clears_the_crashes_at_all_daemons,
 	  a_query_that_fails_by_crashes_is_not_left_running,
 	  all_daemons_know_of_a_crash_within_a_fifth_of_a_second,
+	  callers_of_a_blocked_request_return_after_the_next_probe,
 	  an_operator_lists_and_clears_a_blocked_request,
 	  connections_that_are_reset_block_nothing,
 	  crashes_that_three_daemons_saw_add_up,
