forward: Send all three probes with fewer than three seeds, too

On a daemon alone, and in fleets with one or two seeds, a request that was blocked wrongly had as many probes as there are seeds, and was then refused until no copy had come for ten minutes: never, if callers go on asking.

Cause: each seed had one probe, so that a daemon without seeds had one in all.

The three probes are now divided among the seeds, whatever their number; a daemon without seeds sends all.

--- a/include/cuminsail/route_blocklist.h
+++ b/include/cuminsail/route_blocklist.h
@@ -65,7 +65,7 @@
 	struct route_digest digest;
 	gint64 cleared_us; /* crashes up to then do not count; 0: never */
 	gint64 came_us; /* when a copy of the request last arrived */
-	guint probes; /* bit i: prober i has sent its probe */
+	guint probes; /* bit i: probe i was sent */
 	guint n_crashes; /* since it was cleared */
 	struct route_crash crashes[ROUTE_CRASHES_TO_BLOCK];
 	/* The last copy that this daemon saw crash replicas; not exchanged. */
@@ -141,26 +141,22 @@
 guint route_blocklist_crashes(const struct route_blocklist *list,
 			      const struct route_digest *digest);
 
-/** The prober of a daemon that sends no probes. */
-#define ROUTE_NO_PROBER (-1)
-
-/** Probers are numbered below this. */
-#define ROUTE_PROBERS_MAX 3
+/** Probes of a request while it is blocked, over all daemons. */
+#define ROUTE_PROBES_MAX 3
 
 /**
  * route_blocklist_admits - decide whether a request that arrives may be sent
  * @list: a list
  * @digest: the request
  * @copy: number of the copy, as in route_blocklist_crashed()
- * @prober: number of this daemon among those that send probes, or
- *	ROUTE_NO_PROBER
+ * @probes: those that only this daemon sends; bit i: probe i
  * @now_us: current time
  *
- * A blocked request may be sent once by each prober: the first probe is due
- *five seconds after the last crash, the others a minute and a quarter of an
- *hour after it. Lower probers go first, two seconds before the next one. A good
- * answer to a probe clears a request that was blocked wrongly. A copy that is
- * admitted as a probe is pending until route_blocklist_probe_sent() or
+ * A blocked request may be sent once as each probe: the first one is due five
+ * seconds after the last crash, the others a minute and a quarter of an hour
+ * after it. A daemon waits two seconds for each lower probe that was not sent.
+ * A good answer to a probe clears a request that was blocked wrongly. A copy
+ * that is admitted as a probe is pending until route_blocklist_probe_sent() or
  * route_blocklist_probe_ended() is called for it; meanwhile no other copy is
  * admitted.
  *
@@ -168,14 +164,14 @@
  */
 bool route_blocklist_admits(struct route_blocklist *list,
 			    const struct route_digest *digest, guint32 copy,
-			    int prober, gint64 now_us);
+			    guint probes, gint64 now_us);
 
 /**
  * route_blocklist_next_probe_us - when the next probe of a request is due
  * @list: a list
  * @digest: the request
  *
- * Return: time at which the first of the probers may send it; G_MAXINT64 if all
+ * Return: time from which it may be sent; G_MAXINT64 if all
  * probes were sent, 0 if the request is not blocked.
  */
 gint64 route_blocklist_next_probe_us(const struct route_blocklist *list,
--- a/src/libforward/blocklist.c
+++ b/src/libforward/blocklist.c
@@ -162,10 +162,9 @@
 
 /* ---- decisions ---- */
 
-static int prober(const struct forward_engine *engine)
+static guint own_probes(const struct forward_engine *engine)
 {
-	return engine->follow ? forward_follow_prober(engine->follow)
-			      : ROUTE_NO_PROBER;
+	return engine->follow ? forward_follow_probes(engine->follow) : 0;
 }
 
 static void log_refusal(const struct forward_job *job,
@@ -190,7 +189,7 @@
 	n_crashes = route_blocklist_crashes(engine->blocklist, digest);
 	job->suspected = n_crashes > 0;
 	if (!route_blocklist_admits(engine->blocklist, digest, job->number,
-				    prober(engine), forward_now(engine))) {
+				    own_probes(engine), forward_now(engine))) {
 		log_refusal(job, digest);
 		return false;
 	}
@@ -368,7 +367,7 @@
 	    !route_digest_parse(fields[FIELD_DIGEST], &block->digest) ||
 	    !parse_age(engine, fields[FIELD_CAME_MS], &block->came_us) ||
 	    !g_ascii_string_to_unsigned(fields[FIELD_PROBES], 10, 0,
-					(1U << ROUTE_PROBERS_MAX) - 1, &probes,
+					(1U << ROUTE_PROBES_MAX) - 1, &probes,
 					NULL))
 		return false;
 	block->probes = (guint)probes;
--- a/src/libforward/follow.c
+++ b/src/libforward/follow.c
@@ -649,15 +649,16 @@
 	arm_timer(follow, MAX(due_us - forward_now(follow->engine), 0));
 }
 
-int forward_follow_prober(const struct forward_follow *follow)
+guint forward_follow_probes(const struct forward_follow *follow)
 {
-	if (!follow->n_seeds)
-		return 0;
-	for (guint i = 0; i < MIN(follow->n_seeds, ROUTE_PROBERS_MAX); i++) {
-		if (is_self(follow, i))
-			return (int)i;
+	guint n = MIN(follow->n_seeds, ROUTE_PROBES_MAX);
+	guint probes = 0;
+
+	for (guint i = 0; i < ROUTE_PROBES_MAX; i++) {
+		if (!n || is_self(follow, i % n))
+			probes |= 1U << i;
 	}
-	return ROUTE_NO_PROBER;
+	return probes;
 }
 
 bool forward_follow_is_seed(const struct forward_follow *follow)
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -691,9 +691,9 @@
 /* Return: whether this daemon is one of the seeds. */
 bool forward_follow_is_seed(const struct forward_follow *follow);
 
-/* Return: number of this daemon among those that probe blocked requests, or
- * ROUTE_NO_PROBER. The seeds are. */
-int forward_follow_prober(const struct forward_follow *follow);
+/* Return: the probes of blocked requests that this daemon sends, bit i: probe
+ * i. The seeds share them; without seeds a daemon sends all. */
+guint forward_follow_probes(const struct forward_follow *follow);
 
 /* Calls a seed now, also if a call to one is being held. */
 void forward_follow_call_now(struct forward_follow *follow);
--- a/src/libroute/blocklist.c
+++ b/src/libroute/blocklist.c
@@ -10,14 +10,14 @@
 /* Time from the last crash to each probe. By the first one, replicas that have
  * crashed are back: a request that was only lost with them has a good answer
  * then. The others are for replicas that take longer, or were repaired. */
-static const gint64 probe_delays_us[ROUTE_PROBERS_MAX] = {
+static const gint64 probe_delays_us[ROUTE_PROBES_MAX] = {
 	5 * CS_US_PER_S,
 	60 * CS_US_PER_S,
 	900 * CS_US_PER_S,
 };
 
-/* How long a prober waits for each prober before it, which may be down or
- * receive no copy. */
+/* How long a daemon waits for each probe before its own, whose daemon may be
+ * down or receive no copy. */
 #define PROBE_TURN_US (2 * CS_US_PER_S)
 
 struct route_blocklist {
@@ -252,25 +252,27 @@
 
 static gint64 next_probe_us(const struct route_block *block)
 {
-	guint n_left = count_unset(block->probes, ROUTE_PROBERS_MAX);
+	guint n_left = count_unset(block->probes, ROUTE_PROBES_MAX);
 
 	if (!n_left)
 		return G_MAXINT64;
 	return last_crash_us(block) +
-	       probe_delays_us[ROUTE_PROBERS_MAX - n_left];
+	       probe_delays_us[ROUTE_PROBES_MAX - n_left];
 }
 
-/* Return: whether it is a prober's turn to send the next probe. */
-static bool may_probe(const struct route_block *block, int prober,
-		      gint64 now_us)
+/* Return: bit of the probe that a daemon may send now, of @probes; 0: none. */
+static guint due_probe(const struct route_block *block, guint probes,
+		       gint64 now_us)
 {
+	int number = g_bit_nth_lsf(probes & ~block->probes, -1);
 	guint n_before;
 
-	if (prober < 0 || prober >= ROUTE_PROBERS_MAX || block->pending_probe ||
-	    block->probes & 1U << prober)
-		return false;
-	n_before = count_unset(block->probes, (guint)prober);
-	return now_us - n_before * PROBE_TURN_US >= next_probe_us(block);
+	if (number < 0 || number >= ROUTE_PROBES_MAX || block->pending_probe)
+		return 0;
+	n_before = count_unset(block->probes, (guint)number);
+	if (now_us - n_before * PROBE_TURN_US < next_probe_us(block))
+		return 0;
+	return 1U << number;
 }
 
 gint64 route_blocklist_next_probe_us(const struct route_blocklist *list,
@@ -285,18 +287,20 @@
 
 bool route_blocklist_admits(struct route_blocklist *list,
 			    const struct route_digest *digest, guint32 copy,
-			    int prober, gint64 now_us)
+			    guint probes, gint64 now_us)
 {
 	struct route_block *block = find_block(list, digest);
+	guint probe;
 
 	if (!block || !block->n_crashes)
 		return true;
 	block->came_us = now_us;
 	if (block->n_crashes < ROUTE_CRASHES_TO_BLOCK)
 		return true;
-	if (!may_probe(block, prober, now_us))
+	probe = due_probe(block, probes, now_us);
+	if (!probe)
 		return false;
-	block->pending_probe = 1U << prober;
+	block->pending_probe = probe;
 	block->pending_copy = copy;
 	return true;
 }
--- a/test/unit/test_blocklist.c
+++ b/test/unit/test_blocklist.c
@@ -120,6 +120,24 @@
 }
 END_TEST
 
+/* Guards against a request that stays blocked after a probe of each seed, where
+ * there are fewer seeds than probes. */
+START_TEST(two_seeds_send_three_probes)
+{
+	struct cluster cluster;
+
+	cluster_create(&cluster);
+	cluster_run(&cluster, 1000);
+	block(&cluster);
+	for (guint s = 0; s < 1000; s++) {
+		cluster_ask(&cluster, s % SEEDS, "/once" DEADLY);
+		cluster_run(&cluster, 1000);
+	}
+	ck_assert_uint_eq(cluster.crashes->len, 3 + 3);
+	cluster_destroy(&cluster);
+}
+END_TEST
+
 START_TEST(a_daemon_that_starts_learns_what_is_blocked)
 {
 	static const guint numbers[] = {0, 5}; /* a seed, a follower */
@@ -790,11 +808,15 @@
 				now);
 }
 
+#define NO_PROBER (-1)
+
+/* prober: number of the only probe that the daemon may send, or NO_PROBER */
 static bool admits(struct route_blocklist *list, guint request, int prober,
 		   gint64 now)
 {
 	struct route_digest digest = digest_of(request);
-	bool admitted = route_blocklist_admits(list, &digest, 1, prober, now);
+	guint probes = prober < 0 ? 0 : 1U << prober;
+	bool admitted = route_blocklist_admits(list, &digest, 1, probes, now);
 
 	/* A copy that is admitted is sent. */
 	route_blocklist_probe_sent(list, &digest, 1);
@@ -832,12 +854,12 @@
 		crash(lists[i], 2, 20, 1000 + i);
 	}
 	for (guint i = 1; i < 3; i++) {
-		ck_assert(admits(lists[0], 1, ROUTE_NO_PROBER, 2000));
+		ck_assert(admits(lists[0], 1, NO_PROBER, 2000));
 		tell(lists[i], lists[0], 2000);
 		tell(lists[i], lists[0], 2000);
 	}
-	ck_assert(!admits(lists[0], 1, ROUTE_NO_PROBER, 2000));
-	ck_assert(admits(lists[0], 2, ROUTE_NO_PROBER, 2000));
+	ck_assert(!admits(lists[0], 1, NO_PROBER, 2000));
+	ck_assert(admits(lists[0], 2, NO_PROBER, 2000));
 	for (guint i = 0; i < 3; i++)
 		route_blocklist_destroy(lists[i]);
 }
@@ -859,8 +881,8 @@
 		ck_assert(!route_blocklist_clear(a, &digest, 5000));
 		tell(order ? a : b, order ? b : a, 6000);
 		tell(order ? b : a, order ? a : b, 6000);
-		ck_assert(admits(a, 1, ROUTE_NO_PROBER, 6000));
-		ck_assert(admits(b, 1, ROUTE_NO_PROBER, 6000));
+		ck_assert(admits(a, 1, NO_PROBER, 6000));
+		ck_assert(admits(b, 1, NO_PROBER, 6000));
 		ck_assert(!route_blocklist_active(a));
 		ck_assert(!route_blocklist_active(b));
 		/* A crash after it counts. */
@@ -895,8 +917,8 @@
 		}
 		/* A seed that has restarted learns that it has sent one. */
 		ck_assert(!(s >= due_s[0] && admits(b, 1, 0, now)));
-		ck_assert(!admits(b, 1, ROUTE_NO_PROBER, now));
-		ck_assert(!admits(b, 1, ROUTE_PROBERS_MAX, now));
+		ck_assert(!admits(b, 1, NO_PROBER, now));
+		ck_assert(!admits(b, 1, ROUTE_PROBES_MAX, now));
 	}
 	route_blocklist_destroy(a);
 	route_blocklist_destroy(b);
@@ -935,25 +957,25 @@
 	for (guint i = 0; i < 3; i++)
 		crash(list, 1, i, 1000);
 	for (guint32 copy = 1; copy < 9; copy++) {
-		ck_assert(route_blocklist_admits(list, &digest, copy, 0, now));
-		ck_assert(!route_blocklist_admits(list, &digest, 9, 0, now));
+		ck_assert(route_blocklist_admits(list, &digest, copy, 1, now));
+		ck_assert(!route_blocklist_admits(list, &digest, 9, 1, now));
 		ck_assert(!route_blocklist_probe_sent(list, &digest, 9));
 		route_blocklist_probe_ended(list, &digest, 9);
-		ck_assert(!route_blocklist_admits(list, &digest, 9, 0, now));
+		ck_assert(!route_blocklist_admits(list, &digest, 9, 1, now));
 		route_blocklist_probe_ended(list, &digest, copy);
 	}
-	ck_assert(route_blocklist_admits(list, &digest, 9, 0, now));
+	ck_assert(route_blocklist_admits(list, &digest, 9, 1, now));
 	ck_assert(route_blocklist_probe_sent(list, &digest, 9));
 	ck_assert(!route_blocklist_probe_sent(list, &digest, 9));
 	route_blocklist_probe_ended(list, &digest, 9);
-	ck_assert(!route_blocklist_admits(list, &digest, 10, 0, now));
+	ck_assert(!route_blocklist_admits(list, &digest, 10, 1, now));
 	/* A good answer meanwhile leaves nothing pending. */
-	ck_assert(route_blocklist_admits(list, &digest, 11, 1, 3 * now));
+	ck_assert(route_blocklist_admits(list, &digest, 11, 2, 3 * now));
 	ck_assert(route_blocklist_clear(list, &digest, 3 * now));
 	ck_assert(!route_blocklist_probe_sent(list, &digest, 11));
 	for (guint i = 0; i < 3; i++)
 		crash(list, 1, i, 4 * now);
-	ck_assert(route_blocklist_admits(list, &digest, 12, 0, 5 * now));
+	ck_assert(route_blocklist_admits(list, &digest, 12, 1, 5 * now));
 	route_blocklist_destroy(list);
 }
 END_TEST
@@ -967,7 +989,7 @@
 		crash(list, 1, i, now);
 	for (guint i = 2; i < 2000; i++)
 		crash(list, i, i, ++now);
-	ck_assert(!admits(list, 1, ROUTE_NO_PROBER, now));
+	ck_assert(!admits(list, 1, NO_PROBER, now));
 	route_blocklist_expire(list, now + 599 * CS_US_PER_S);
 	ck_assert(route_blocklist_active(list));
 	route_blocklist_expire(list, now + 601 * CS_US_PER_S);
@@ -1063,4 +1085,5 @@
 	  several_daemons_send_on_a_request_that_has_crashed_three_replicas,
 	  the_first_probe_crashes_one_more_replica,
 	  the_next_prober_takes_over_the_first_probe,
+	  two_seeds_send_three_probes,
 	  what_differs_from_a_blocked_request_is_served)
