route: Send the first probe three seconds after the last crash

Cause: the first probe was due as late as the rule begins to count. A request that was blocked wrongly also waited for it longer than its replicas took.

--- a/include/cuminsail/route_blocklist.h
+++ b/include/cuminsail/route_blocklist.h
@@ -152,13 +152,13 @@
  * @probes: those that only this daemon sends; bit i: probe i
  * @now_us: current time
  *
- * A blocked request may be sent once as each probe: the first one is due five
- * seconds after the last crash, the others a minute and a quarter of an hour
- * after it. A daemon waits two seconds for each lower probe that was not sent.
- * A good answer to a probe clears a request that was blocked wrongly. A copy
- * that is admitted as a probe is pending until route_blocklist_probe_sent() or
- * route_blocklist_probe_ended() is called for it; meanwhile no other copy is
- * admitted.
+ * A blocked request may be sent once as each probe: the first one is due
+ * three seconds after the last crash, the others a minute and a quarter of an
+ * hour after it. A daemon waits two seconds for each lower probe that was not
+ * sent. A good answer to a probe clears a request that was blocked wrongly. A
+ * copy that is admitted as a probe is pending until
+ * route_blocklist_probe_sent() or route_blocklist_probe_ended() is called for
+ * it; meanwhile no other copy is admitted.
  *
  * Return: false if the request is blocked.
  */
--- a/src/libroute/blocklist.c
+++ b/src/libroute/blocklist.c
@@ -7,11 +7,12 @@
 /* A request that has not come for this long is removed. */
 #define EXPIRY_US (600 * CS_US_PER_S)
 
-/* Time from the last crash to each probe. By the first one, replicas that have
- * crashed are back: a request that was only lost with them has a good answer
- * then. The others are for replicas that take longer, or were repaired. */
+/* Time from the last crash to each probe. The first one clears a request that
+ * was only lost with its replicas; one that does crash them ends one more. The
+ * others are for a first one without an answer, or replicas that are repaired.
+ */
 static const gint64 probe_delays_us[ROUTE_PROBES_MAX] = {
-	5 * CS_US_PER_S,
+	3 * CS_US_PER_S,
 	60 * CS_US_PER_S,
 	900 * CS_US_PER_S,
 };
