--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -741,7 +741,8 @@
                             "term", "hup", "replica", "replica",
                             "replica", "replica", "pause",
                             "crash", "drain", "config", "compact", "refuse",
-                            "restore", "restore", "leave", "odd", "odd"])
+                            "restore", "restore", "leave", "odd", "odd",
+                            "outage", "outage"])
         self.write_log(f"fault {kind} span={span:.2f} daemon={daemon.number} "
                        f"replica={replica.id} proxy={proxy.port - self.base}")
         if kind == "proxy":
@@ -783,6 +784,8 @@
             await self.leave(replica)
         elif kind == "odd":
             await self.write_odd_entry(span)
+        elif kind == "outage":
+            await self.end_service(replica.service, span)
         elif kind == "refuse":
             self.store.refuse = True
             await asyncio.sleep(span)
@@ -875,11 +878,26 @@
         await new.start()
         self.replicas.append(new)
 
+    async def end_service(self, service, span):
+        """All replicas of a service end at once, with the requests of span."""
+        replicas = [r for r in self.replicas
+                    if r.service == service and not r.limited]
+        for replica in replicas:
+            replica.pause_until = time.monotonic() + span + 1
+        await asyncio.sleep(span)
+        for replica in replicas:
+            self.end(replica)
+
     def crash(self, replica):
+        """A replica ends because of a request."""
+        if replica in self.replicas:
+            self.crashes.append(time.monotonic())
+            self.end(replica)
+
+    def end(self, replica):
         """A replica ends, and starts again 1.2 s later under another id."""
         if replica not in self.replicas:
             return
-        self.crashes.append(time.monotonic())
         self.replicas.remove(replica)
         replica.server.close()
         proxy = self.proxies[replica.port - self.base - 10]
