--- a/include/cuminsail/route_blocklist.h
+++ b/include/cuminsail/route_blocklist.h
@@ -171,7 +171,7 @@
  * @list: a list
  * @digest: the request
  *
- * Return: time from which it may be sent; G_MAXINT64 if all
+ * Return: time from which it may be sent, in microseconds; G_MAXINT64 if all
  * probes were sent, 0 if the request is not blocked.
  */
 gint64 route_blocklist_next_probe_us(const struct route_blocklist *list,
--- a/src/libforward/reply.c
+++ b/src/libforward/reply.c
@@ -26,7 +26,8 @@
  * daemon of a limit that ended. */
 #define RETRY_LIMIT_MAX_MS 1000
 
-/* Longest Retry-After for a request that crashes replicas, or for a rest. */
+/* Longest wait for the next probe of a blocked request, or for the end of a
+ * rest. */
 #define RETRY_BLOCKED_MS 60000
 
 /* Time in which a copy comes to the daemon that sends the next probe of a
