test: Innocent requests are not blocked, also not until the first probe

Two mutants of the blocklist survived: crashes that count without contact with other replicas, and more than two of one copy. Cause: the tests asked four seconds after the crashes whether the request is served, and since a probe clears one that was blocked by then.

--- a/test/unit/test_blocklist.c
+++ b/test/unit/test_blocklist.c
@@ -592,6 +592,13 @@
 	return strstr(page, "\"blocked\":true") != NULL;
 }
 
+/* A probe would clear a request that was blocked for a while. */
+static void check_blocked_nowhere(struct cluster *cluster)
+{
+	for (guint i = 0; i < DAEMONS; i++)
+		ck_assert_msg(!is_any_blocked(cluster, i), "daemon %u", i);
+}
+
 /* Guards against a request that stays blocked although its replicas are back:
  * they crashed together, under several copies of it, by another cause. */
 START_TEST(a_frequent_request_is_served_again_after_its_replicas_crash_together)
@@ -726,8 +733,11 @@
 	net_advance(&cluster.net, 150);
 	for (guint i = 0; i < 2 * SHARDS; i++)
 		crash_replica(&cluster, i);
-	cluster_run(&cluster, 4000);
+	cluster_run(&cluster, 1000);
+	check_blocked_nowhere(&cluster);
+	cluster_run(&cluster, 3000);
 	net_close(caller);
+	check_blocked_nowhere(&cluster);
 	check_served_by_all(&cluster, "/all/x");
 	cluster_destroy(&cluster);
 }
@@ -750,6 +760,7 @@
 		cluster.replicas[i].server->reply = CLUSTER_GOOD;
 		cluster.replicas[i].server->close_after = false;
 	}
+	check_blocked_nowhere(&cluster);
 	ck_assert_uint_eq(cluster_ask(&cluster, 3, "/once/x"), 200);
 	cluster_destroy(&cluster);
 }
@@ -791,7 +802,10 @@
 			cluster.replicas[k].server = NULL;
 			cluster.replicas[k].down_at = cluster.step;
 		}
-		cluster_run(&cluster, 4000);
+		cluster_run(&cluster, 1000);
+		check_blocked_nowhere(&cluster);
+		cluster_run(&cluster, 3000);
+		check_blocked_nowhere(&cluster);
 		net_close(caller);
 	}
 	for (guint i = 0; i < DAEMONS; i++)
