forward: A probe that meets another instance does not count

A request that was blocked wrongly stayed blocked for a minute if its first probe came to the address of a replica that had been started again under another id, before this daemon knew of it: 421, proved not run.

Cause: a probe counted when it was written on a connection.

It now counts with its outcome: an answer other than 421, or the loss of the connection; without either at the end of the job, if it may have run. After a 421 it goes to another replica within the attempts of the route. It is pending until then, so that this daemon sends no other one. Answers with 503 count: the replica that the rule speaks of has received the request.

unit blocklist: a_probe_at_another_instance_does_not_count failed before ("/one/popular, daemon 0": 503).

--- a/src/libforward/blocklist.c
+++ b/src/libforward/blocklist.c
@@ -197,14 +197,14 @@
 	return true;
 }
 
-void forward_blocklist_sent(struct forward_job *job)
+void forward_blocklist_received(struct forward_job *job)
 {
 	struct forward_engine *engine = job->engine;
 	const struct route_digest *digest;
 
-	if (!job->probe || job->relaying)
+	if (!job->probe)
 		return;
-	job->probe_sent = true;
+	job->probe_received = true;
 	digest = forward_job_digest(job);
 	if (!route_blocklist_probe_sent(engine->blocklist, digest, job->number))
 		return;
@@ -214,10 +214,13 @@
 
 void forward_blocklist_ended(struct forward_job *job)
 {
-	if (job->probe)
-		route_blocklist_probe_ended(job->engine->blocklist,
-					    forward_job_digest(job),
-					    job->number);
+	if (!job->probe)
+		return;
+	/* What a peer has sent counts there. */
+	if (job->relaying ? job->n_used > 0 : forward_job_may_have_run(job))
+		forward_blocklist_received(job);
+	route_blocklist_probe_ended(job->engine->blocklist,
+				    forward_job_digest(job), job->number);
 }
 
 gint64 forward_blocklist_wait_us(struct forward_job *job)
@@ -274,8 +277,7 @@
 	if (job->suspected && part != first_part(job))
 		return FORWARD_HOLD;
 	if (job->probe)
-		return part->n_sent || job->probe_sent ? FORWARD_STOP
-						       : FORWARD_GO;
+		return job->probe_received ? FORWARD_STOP : FORWARD_GO;
 	digest = forward_job_digest(job);
 	n_crashes = route_blocklist_crashes(engine->blocklist, digest);
 	if (n_crashes >= limit)
--- a/src/libforward/internal.h
+++ b/src/libforward/internal.h
@@ -117,7 +117,7 @@
 	guint n_lost; /* attempts whose connection was closed */
 	bool suspected; /* replicas have crashed under this request */
 	bool probe; /* blocked, and sent to see whether it still crashes */
-	bool probe_sent; /* a replica has got it */
+	bool probe_received; /* by a replica */
 	bool closing; /* the job is ending: no new attempts */
 	struct forward_part *parts; /* own_parts, or relay_part */
 	struct forward_part own_parts[];
@@ -447,6 +447,9 @@
 /* Return: whether the next request is sent to a peer. */
 bool forward_relays_wanted(const struct forward_relays *relays);
 
+/* Return: whether a replica may have run the job's request. */
+bool forward_job_may_have_run(const struct forward_job *job);
+
 /* Return: whether the job may be sent to a peer, with regard to the attempts
  * that may have run. */
 bool forward_job_may_relay(const struct forward_job *job);
@@ -489,8 +492,9 @@
 /* Return: false if the job's request is blocked. */
 bool forward_blocklist_admits(struct forward_job *job);
 
-/* A request of the job was sent to a replica, or to a peer. */
-void forward_blocklist_sent(struct forward_job *job);
+/* A replica, and no other one at its address, has received a request of the
+ * job, or may have. */
+void forward_blocklist_received(struct forward_job *job);
 
 /* The job ends. */
 void forward_blocklist_ended(struct forward_job *job);
--- a/src/libforward/job.c
+++ b/src/libforward/job.c
@@ -24,6 +24,17 @@
 	return &job->digest;
 }
 
+bool forward_job_may_have_run(const struct forward_job *job)
+{
+	if (job->n_used)
+		return true;
+	for (guint i = 0; i < job->n_parts; i++) {
+		if (job->parts[i].n_may_have_run)
+			return true;
+	}
+	return false;
+}
+
 /* ---- end of a job ---- */
 
 /* The attempts of a job without any answer are still checked for a crash after
--- a/src/libforward/link.c
+++ b/src/libforward/link.c
@@ -196,6 +196,7 @@
 	const char *id =
 		http1_message_header(message, engine->dialect->request_id);
 	struct forward_part *part = attempt->part;
+	bool to_peer = connection->link->to_peer;
 	struct forward_answer *answer = NULL;
 	struct forward_classification classification;
 
@@ -206,7 +207,7 @@
 		return false;
 	}
 	classification = classify(connection->link, message);
-	if (!connection->link->to_peer) {
+	if (!to_peer) {
 		forward_contact_answered(engine->contact);
 		forward_limits_observe(engine, &attempt->route, message,
 				       classification.result);
@@ -231,6 +232,8 @@
 		return true;
 	if (classification.not_run)
 		part->n_may_have_run--;
+	if (!to_peer && classification.result != ROUTE_WRONG_INSTANCE)
+		forward_blocklist_received(part->job);
 	if (!classification.reason) {
 		forward_part_answered(part, answer);
 		return true;
@@ -287,7 +290,6 @@
 	if (attempt->part) {
 		attempt->part->n_may_have_run++;
 		attempt->hedge_due_us = hedge_due(attempt->part, attempt);
-		forward_blocklist_sent(attempt->part->job);
 		forward_job_update(attempt->part->job);
 	}
 }
@@ -312,8 +314,10 @@
 {
 	if (!not_run)
 		check_for_crash(attempt);
-	if (!not_run && attempt->part)
+	if (!not_run && attempt->part) {
 		attempt->part->job->n_lost++;
+		forward_blocklist_received(attempt->part->job);
+	}
 	forward_contact_failed(attempt->connection->link->engine->contact,
 			       attempt->route.replica);
 }
@@ -454,8 +458,6 @@
 	http1_client_send(connection->client, engine->request_head,
 			  request->body->data, request->body->len,
 			  !strcmp(request->method, "HEAD"));
-	if (attempt->connected)
-		forward_blocklist_sent(job);
 	return true;
 }
 
--- a/src/libforward/reply.c
+++ b/src/libforward/reply.c
@@ -155,17 +155,6 @@
 		send_replica_answer(job, job->parts[0].answer);
 }
 
-static bool may_have_run(const struct forward_job *job)
-{
-	if (job->n_used)
-		return true;
-	for (guint i = 0; i < job->n_parts; i++) {
-		if (job->parts[i].n_may_have_run)
-			return true;
-	}
-	return false;
-}
-
 /* Return: the replica's failure if it can be returned to the caller unchanged,
  * else NULL. A status that promises "not run" is held back, because the replica
  * gave no proof. */
@@ -232,7 +221,7 @@
 
 static guint status_of(const struct forward_job *job, int code)
 {
-	if (!may_have_run(job))
+	if (!forward_job_may_have_run(job))
 		return code == CS_E_DEADLINE ? 504 : 503;
 	return code == CS_E_DEADLINE ? 504 : 502;
 }
--- a/test/unit/cluster.h
+++ b/test/unit/cluster.h
@@ -18,6 +18,11 @@
 	"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: s\r\nContent-Length: "           \
 	"16\r\n\r\n0123456789abcdef"
 
+/* The answer to a request for a replica that had the address before. */
+#define CLUSTER_OTHER_INSTANCE                                                 \
+	"HTTP/1.1 421 Other\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: "       \
+	"0\r\n\r\n"
+
 /* A replica, which starts again 3 s after a crash under another id. */
 struct replica {
 	struct net_server *server; /* NULL while it is down */
--- a/test/unit/test_blocklist.c
+++ b/test/unit/test_blocklist.c
@@ -657,6 +657,34 @@
 }
 END_TEST
 
+/* Guards against a request that stays blocked because its probe came to the
+ * address of a replica that has another id since it was started again. */
+START_TEST(a_probe_at_another_instance_does_not_count)
+{
+	struct cluster cluster;
+
+	cluster_create(&cluster);
+	cluster_run(&cluster, 1000);
+	crash_replicas_under(&cluster, "/one/popular", 2 * SHARDS, REPLICAS);
+	ck_assert(is_any_blocked(&cluster, 5));
+	cluster_run(&cluster, 2600);
+	for (guint i = 2 * SHARDS; i < REPLICAS; i++)
+		cluster.replicas[i].server->reply = CLUSTER_OTHER_INSTANCE;
+	for (guint i = 0; i < DAEMONS; i++)
+		ck_assert_uint_eq(cluster_ask(&cluster, i, "/one/popular"),
+				  503);
+	/* The platform's list has the new ids. */
+	for (guint i = 2 * SHARDS; i < REPLICAS; i++)
+		crash_replica(&cluster, i);
+	cluster_run(&cluster, 3200);
+	for (guint i = 0; i < DAEMONS; i++)
+		cluster_ask(&cluster, i, "/one/popular");
+	cluster_run(&cluster, 500);
+	check_served_by_all(&cluster, "/one/popular");
+	cluster_destroy(&cluster);
+}
+END_TEST
+
 START_TEST(an_operator_lists_and_clears_a_blocked_request)
 {
 	struct cluster cluster;
@@ -1089,6 +1117,7 @@
 	  a_daemon_that_starts_learns_what_is_blocked,
 	  a_daemon_without_seeds_blocks_by_its_own_crashes,
 	  a_pending_probe_is_sent_or_given_back_once,
+	  a_probe_at_another_instance_does_not_count,
 	  a_probe_of_a_query_is_sent_to_one_shard_only,
 	  a_probe_without_a_replica_is_sent_when_one_is_back,
 	  a_query_that_many_crashes_hit_at_once_is_not_blocked,
