soak: A 421 names the request's id

Replicas echo Request-Id in their responses (PROTOCOL); an answer without it proves nothing to a daemon. The stand-in left it out in its 421, which so was a failure that may have run; requests that met a replaced replica got 502.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -294,7 +294,8 @@
         testbed.arrivals[self.service].append((time.monotonic(), request_id))
         self.arrived.append(time.monotonic())
         if headers.get("target-instance") != self.id:
-            writer.write(answer_bytes(421, {"Instance-Id": self.id}, b""))
+            writer.write(answer_bytes(421, {"Instance-Id": self.id,
+                                            "Request-Id": request_id}, b""))
             return True
         if fault == "refuse":
             writer.write(answer_bytes(503, {"Not-Executed": "1",
